--- /dev/null
+++ b/burdocklever/src/catalogue.rs
@@ -0,0 +1,255 @@
+//! The catalogue: the newest version seen of every platform object.
+//!
+//! Merging is a join: an object replaces only an older version of itself, so
+//! order, loss and repetition of updates do not matter. `through` is the
+//! revision up to which every object is known; peers exchange what lies above.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wire::{
+    Address, Body, DomainId, DomainState, Host, HostId, Member, Object, ObjectKey, Service,
+    ServiceId, State, Version, View, Vm, VmId,
+};
+
+use crate::rank;
+
+/// Objects above some revision, complete up to another.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Delta {
+    /// Revision above which the objects lie.
+    pub from: Version,
+    /// Revision up to which the objects are complete.
+    pub through: Version,
+    /// The objects.
+    pub objects: Vec<Object>,
+}
+
+/// Newest known version of each object, with indexes for the decisions.
+#[derive(Debug, Default, Clone)]
+pub struct Catalogue {
+    objects: BTreeMap<ObjectKey, Object>,
+    through: Version,
+    services: BTreeMap<ServiceId, Service>,
+    addresses: HashMap<Address, ServiceId>,
+    hosts: BTreeMap<HostId, Host>,
+    by_service: BTreeMap<ServiceId, BTreeSet<HostId>>,
+    out: BTreeSet<DomainId>,
+    vms: BTreeMap<VmId, Vm>,
+    views: BTreeMap<DomainId, View>,
+}
+
+impl Catalogue {
+    /// Revision up to which every object is known; zero before the first.
+    pub fn through(&self) -> Version {
+        self.through
+    }
+
+    /// Merges one object. Returns whether it was newer than what was known.
+    pub fn merge(&mut self, object: Object) -> bool {
+        let known = self.objects.get(&object.key).map(|o| o.version);
+        if known >= Some(object.version) {
+            return false;
+        }
+        self.unindex(&object.key);
+        self.index(&object);
+        self.objects.insert(object.key.clone(), object);
+        true
+    }
+
+    /// Merges a delta. Returns the objects that were newer.
+    pub fn apply(&mut self, delta: Delta) -> Vec<Object> {
+        let mut fresh = Vec::new();
+        for object in delta.objects {
+            if self.merge(object.clone()) {
+                fresh.push(object);
+            }
+        }
+        if delta.from <= self.through {
+            self.through = self.through.max(delta.through);
+        }
+        fresh
+    }
+
+    /// Everything known above `from`.
+    pub fn delta(&self, from: Version) -> Delta {
+        let above = self.objects.values().filter(|o| o.version > from);
+        Delta {
+            from,
+            through: self.through,
+            objects: above.cloned().collect(),
+        }
+    }
+
+    fn unindex(&mut self, key: &ObjectKey) {
+        let Some(old) = self.objects.get(key) else {
+            return;
+        };
+        match &old.body {
+            Body::Service(s) => {
+                self.addresses.remove(&s.address);
+                self.services.retain(|id, _| id.as_str() != &*key.name);
+            }
+            Body::Domain { .. } => self.out.retain(|id| id.as_str() != &*key.name),
+            Body::Host(h) => {
+                self.hosts.remove(&h.id);
+                if let Some(list) = self.by_service.get_mut(&h.service) {
+                    list.remove(&h.id);
+                }
+            }
+            Body::Vm(v) => {
+                self.vms.remove(&v.member.vm);
+            }
+            Body::View(_) => self.views.retain(|id, _| id.as_str() != &*key.name),
+            Body::Removed => {}
+        }
+    }
+
+    fn index(&mut self, object: &Object) {
+        match &object.body {
+            Body::Service(s) => {
+                if let Ok(id) = object.key.name.parse::<ServiceId>() {
+                    self.addresses.insert(s.address, id.clone());
+                    self.services.insert(id, s.clone());
+                }
+            }
+            Body::Domain { state } => {
+                if let (DomainState::Out, Ok(id)) = (state, object.key.name.parse()) {
+                    self.out.insert(id);
+                }
+            }
+            Body::Host(h) => {
+                self.hosts.insert(h.id, h.clone());
+                self.by_service
+                    .entry(h.service.clone())
+                    .or_default()
+                    .insert(h.id);
+            }
+            Body::Vm(v) => {
+                self.vms.insert(v.member.vm, v.clone());
+            }
+            Body::View(v) => {
+                if let Ok(id) = object.key.name.parse() {
+                    self.views.insert(id, v.clone());
+                }
+            }
+            Body::Removed => {}
+        }
+    }
+
+    /// The object with this key, if known and not removed.
+    pub fn get(&self, key: &ObjectKey) -> Option<&Object> {
+        self.objects.get(key).filter(|o| o.body != Body::Removed)
+    }
+
+    /// Version of the object with this key; zero if unknown.
+    pub fn version(&self, key: &ObjectKey) -> Version {
+        self.objects.get(key).map_or(Version(0), |o| o.version)
+    }
+
+    /// All objects, removed ones too, by kind and name.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values()
+    }
+
+    /// The service of this name.
+    pub fn service(&self, id: &ServiceId) -> Option<&Service> {
+        self.services.get(id)
+    }
+
+    /// All services by name.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
+        self.services.iter()
+    }
+
+    /// Failure domains that hold a VM, a target or a state of their own.
+    pub fn domains(&self) -> BTreeSet<DomainId> {
+        let vms = self.vms.values().map(|v| v.domain.clone());
+        let hosts = self.hosts.values().map(|h| h.domain.clone());
+        vms.chain(hosts).chain(self.out.iter().cloned()).collect()
+    }
+
+    /// The service that callers reach at `address`.
+    pub fn service_at(&self, address: Address) -> Option<&ServiceId> {
+        self.addresses.get(&address)
+    }
+
+    /// The target of this identity.
+    pub fn host(&self, id: HostId) -> Option<&Host> {
+        self.hosts.get(&id)
+    }
+
+    /// Targets of a service, whatever their state.
+    pub fn hosts<'a>(&'a self, service: &ServiceId) -> impl Iterator<Item = &'a Host> + 'a {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.hosts.get(id))
+    }
+
+    /// All targets.
+    pub fn all_hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// Whether a target may get packets of flows that it already serves.
+    pub fn serves(&self, host: &Host) -> bool {
+        host.state != State::Gone && !self.out.contains(&host.domain)
+    }
+
+    /// Whether a target may get new flows and requests.
+    pub fn takes_new(&self, host: &Host) -> bool {
+        host.state == State::Live && !self.out.contains(&host.domain)
+    }
+
+    /// Whether a failure domain is out of service.
+    pub fn is_out(&self, domain: &DomainId) -> bool {
+        self.out.contains(domain)
+    }
+
+    /// The entry VM of this identity.
+    pub fn vm(&self, id: VmId) -> Option<&Vm> {
+        self.vms.get(&id)
+    }
+
+    /// All entry VMs.
+    pub fn vms(&self) -> impl Iterator<Item = &Vm> {
+        self.vms.values()
+    }
+
+    /// Whether the platform says that this life of a VM has ended.
+    pub fn is_gone(&self, member: Member) -> bool {
+        let vm = self.vms.get(&member.vm);
+        vm.is_some_and(|v| {
+            v.member.life > member.life || (v.member == member && v.state == State::Gone)
+        })
+    }
+
+    /// The view of a failure domain's cell.
+    pub fn view(&self, cell: &DomainId) -> Option<&View> {
+        self.views.get(cell)
+    }
+
+    /// Cells that have a view.
+    pub fn cells(&self) -> impl Iterator<Item = (&DomainId, &View)> {
+        self.views.iter()
+    }
+
+    /// Cells for a key of `service`, first-ranked first, weighted by the
+    /// targets that take new work in each cell's failure domain.
+    pub(crate) fn cells_for(&self, service: &ServiceId, key: u64) -> Vec<DomainId> {
+        let mut weights: BTreeMap<&DomainId, u32> = BTreeMap::new();
+        for host in self.hosts(service).filter(|h| self.takes_new(h)) {
+            *weights.entry(&host.domain).or_default() += 1;
+        }
+        let list: Vec<(DomainId, u64, u32)> = weights
+            .into_iter()
+            .map(|(domain, n)| (domain.clone(), rank::hash(domain.as_str().as_bytes()), n))
+            .collect();
+        rank::weighted(key, &list)
+    }
+
+    /// Home of caller-made keys: the first-ranked of all cells, in or out, so
+    /// that taking a failure domain out moves no key.
+    pub(crate) fn home(&self, key: u64) -> Option<&DomainId> {
+        let id = |cell: &DomainId| rank::hash(cell.as_str().as_bytes());
+        self.views.keys().max_by_key(|c| rank::score(key, id(c)))
+    }
+}
--- /dev/null
+++ b/burdocklever/src/cell.rs
@@ -0,0 +1,324 @@
+//! A cell: the VMs of one failure domain, their liveness, view and leases.
+//!
+//! The view is a platform object, moved only by conditional writes. Acting
+//! under it needs a lease: grants less than [`LEASE`] old from a majority of its
+//! members, which ride on heartbeats. A new view is active once so many members
+//! of each older view have let their grants lapse that no majority remains.
+
+use std::collections::BTreeMap;
+
+use wire::{Member, Number, View, VmId};
+
+use crate::msg::{Heartbeat, Load};
+use crate::time::{Ms, Time};
+
+/// Time between heartbeats to one peer.
+pub const HEARTBEAT: Ms = Ms(250);
+/// Silence after which a peer is believed dead.
+pub const SILENCE: Ms = Ms(1000);
+/// Time for which a grant holds, counted from the heartbeat that it answers.
+pub const LEASE: Ms = Ms(1500);
+/// Largest share of a second by which clocks drift: one in this many.
+pub const DRIFT: u64 = 64;
+/// Time for which a changed set of live members must last before it is proposed.
+pub(crate) const STEADY: Ms = Ms(500);
+/// Time that a VM waits before it proposes the first view or replaces a view
+/// whose members are all silent.
+pub(crate) const PATIENCE: Ms = Ms(3000);
+
+/// Time between two proposals of one VM.
+const PROPOSE_EVERY: Ms = Ms(1000);
+
+/// Grant period as its giver must count it, with the largest drift.
+const LAPSE: Ms = Ms(LEASE.0 + LEASE.0 / DRIFT + 1);
+
+/// What a VM knows of a peer in its failure domain.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    /// Which life.
+    pub(crate) member: Member,
+    /// When the last heartbeat arrived.
+    pub(crate) heard: Time,
+    /// The last heartbeat.
+    pub(crate) last: Heartbeat,
+    /// When the last grant to the peer lapses.
+    granted: Time,
+    /// Until when the peer's grant to this VM holds, and under which view.
+    grant: Time,
+    under: Number,
+}
+
+/// A cell as one of its VMs sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct Cell {
+    me: Member,
+    view: View,
+    seen: Time,
+    peers: BTreeMap<VmId, Peer>,
+    lapses: BTreeMap<Member, Time>,
+    /// When every grant made under older views lapses.
+    settle: Time,
+    wanted: Vec<Member>,
+    since: Time,
+    started: Time,
+    propose_due: Time,
+}
+
+impl Cell {
+    pub(crate) fn new(me: Member, now: Time) -> Cell {
+        Cell {
+            me,
+            view: View {
+                number: Number(0),
+                members: Vec::new(),
+                old: Vec::new(),
+            },
+            seen: now,
+            peers: BTreeMap::new(),
+            lapses: BTreeMap::new(),
+            settle: now,
+            wanted: Vec::new(),
+            since: now,
+            started: now,
+            propose_due: now,
+        }
+    }
+
+    pub(crate) fn view(&self) -> &View {
+        &self.view
+    }
+
+    pub(crate) fn is_member(&self) -> bool {
+        self.view.members.contains(&self.me)
+    }
+
+    /// Follows a newer view. Grants under older ones are made no more.
+    pub(crate) fn set_view(&mut self, now: Time, view: &View) -> bool {
+        if view.number <= self.view.number {
+            return false;
+        }
+        let granted = self.peers.values().map(|p| p.granted);
+        self.settle = granted.fold(self.settle, Time::max);
+        self.view = view.clone();
+        self.seen = now;
+        self.lapses.clear();
+        self.lapses.insert(self.me, self.settle);
+        true
+    }
+
+    /// Takes in a peer's heartbeat. A life older than one heard before is ignored.
+    pub(crate) fn hear(&mut self, now: Time, from: Member, beat: Heartbeat) -> bool {
+        let known = self.peers.get(&from.vm);
+        if known.is_some_and(|p| p.member.life > from.life) {
+            return false;
+        }
+        let reordered = known.is_some_and(|p| p.member == from && p.last.at > beat.at);
+        if reordered {
+            return false;
+        }
+        if let Some(ended) = known.map(|p| p.member).filter(|m| *m != from) {
+            self.note_gone(now, ended);
+        }
+        let known = self.peers.get(&from.vm);
+        let same = known.filter(|p| p.member == from);
+        let mut peer = Peer {
+            member: from,
+            heard: now,
+            granted: known.map_or(now, |p| p.granted),
+            grant: same.map_or(Time(0), |p| p.grant),
+            under: same.map_or(Number(0), |p| p.under),
+            last: beat,
+        };
+        if let Some(echo) = peer.last.echo {
+            if peer.last.view == self.view.number {
+                let until = echo + LEASE;
+                peer.grant = if peer.under == self.view.number {
+                    peer.grant.max(until)
+                } else {
+                    until
+                };
+                peer.under = self.view.number;
+            }
+        }
+        if peer.last.view >= self.view.number {
+            let lapse = now + drifted(peer.last.lapse);
+            self.lapses.entry(from).or_insert(lapse);
+        }
+        self.peers.insert(from.vm, peer);
+        true
+    }
+
+    /// Echo for a heartbeat to `to`, recorded as a grant.
+    pub(crate) fn grant(&mut self, now: Time, to: VmId) -> Option<Time> {
+        let number = self.view.number;
+        let members = &self.view.members;
+        let peer = self.peers.get_mut(&to)?;
+        if peer.last.view != number || !members.contains(&peer.member) {
+            return None;
+        }
+        peer.granted = now + LAPSE;
+        Some(peer.last.at)
+    }
+
+    /// Time until no grant that this VM made under an older view runs.
+    pub(crate) fn lapse(&self, now: Time) -> Ms {
+        self.settle.since(now)
+    }
+
+    /// Notes that the platform says a member has ended: it grants no more.
+    pub(crate) fn note_gone(&mut self, now: Time, member: Member) {
+        self.lapses.entry(member).or_insert(now + LAPSE);
+    }
+
+    /// End of this VM's lease under the current view, if it is a member.
+    pub(crate) fn lease(&self) -> Option<Time> {
+        if !self.is_member() {
+            return None;
+        }
+        let number = self.view.number;
+        let own = std::iter::once(Time(u64::MAX));
+        let others = self.view.members.iter().filter_map(|m| {
+            let peer = self.peers.get(&m.vm)?;
+            (peer.member == *m && peer.under == number).then_some(peer.grant)
+        });
+        let mut grants: Vec<Time> = own.chain(others).collect();
+        grants.sort_by_key(|t| std::cmp::Reverse(*t));
+        grants.get(majority(self.view.members.len()) - 1).copied()
+    }
+
+    /// Whether this VM's lease holds at `now`.
+    pub(crate) fn holds_lease(&self, now: Time) -> bool {
+        self.lease().is_some_and(|until| now < until)
+    }
+
+    /// When no lease under an older view can run any more, if that is known.
+    pub(crate) fn active_at(&self) -> Option<Time> {
+        let mut at = self.seen;
+        for members in &self.view.old {
+            let mut lapses: Vec<Time> = members
+                .iter()
+                .filter_map(|m| self.lapses.get(m).copied())
+                .collect();
+            lapses.sort();
+            let need = members.len() - majority(members.len()) + 1;
+            at = at.max(*lapses.get(need - 1)?);
+        }
+        Some(at)
+    }
+
+    pub(crate) fn is_active(&self, now: Time) -> bool {
+        self.active_at().is_some_and(|at| now >= at)
+    }
+
+    /// Whether a peer was heard within [`SILENCE`].
+    pub(crate) fn is_alive(&self, now: Time, member: Member) -> bool {
+        member == self.me
+            || self
+                .peers
+                .get(&member.vm)
+                .is_some_and(|p| p.member == member && now.since(p.heard) < SILENCE)
+    }
+
+    /// Peers heard within [`SILENCE`].
+    pub(crate) fn alive(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |p| now.since(p.heard) < SILENCE)
+    }
+
+    /// Members of the view that are believed alive, or all if none is.
+    pub(crate) fn live_members(&self, now: Time) -> Vec<Member> {
+        let alive = |m: &&Member| self.is_alive(now, **m);
+        let live: Vec<Member> = self.view.members.iter().filter(alive).copied().collect();
+        if live.is_empty() {
+            self.view.members.clone()
+        } else {
+            live
+        }
+    }
+
+    pub(crate) fn peer(&self, vm: VmId) -> Option<&Peer> {
+        self.peers.get(&vm)
+    }
+
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Loads that live peers told of the targets they are steward of.
+    pub(crate) fn loads(&self, now: Time) -> impl Iterator<Item = (Member, &Load)> {
+        self.alive(now)
+            .flat_map(|p| p.last.loads.iter().map(move |l| (p.member, l)))
+    }
+
+    /// The next view, if this VM should write it now.
+    pub(crate) fn propose(&mut self, now: Time, leaving: bool, settled: bool) -> Option<View> {
+        let mut wanted: Vec<Member> = self
+            .alive(now)
+            .filter(|p| !p.last.leaving)
+            .map(|p| p.member)
+            .collect();
+        if !leaving {
+            wanted.push(self.me);
+        }
+        wanted.sort();
+        if wanted != self.wanted {
+            self.wanted = wanted;
+            self.since = now;
+        }
+        let steady = now.since(self.since) >= STEADY;
+        let changed = self.wanted != self.view.members && !self.wanted.is_empty();
+        if !steady || !changed || !self.is_proposer(now) {
+            return None;
+        }
+        if !settled && now.since(self.seen) < PATIENCE {
+            return None;
+        }
+        if now < self.propose_due {
+            return None;
+        }
+        self.propose_due = now + PROPOSE_EVERY;
+        Some(self.next_view(now))
+    }
+
+    fn next_view(&self, now: Time) -> View {
+        let mut old = if self.is_active(now) {
+            Vec::new()
+        } else {
+            self.view.old.clone()
+        };
+        if !self.view.members.is_empty() {
+            old.push(self.view.members.clone());
+        }
+        old.dedup();
+        View {
+            number: Number(self.view.number.0 + 1),
+            members: self.wanted.clone(),
+            old,
+        }
+    }
+
+    /// The first live member proposes; without one, the first live VM does
+    /// after [`PATIENCE`].
+    fn is_proposer(&self, now: Time) -> bool {
+        let members = &self.view.members;
+        let first = members.iter().find(|m| self.is_alive(now, **m));
+        if let Some(first) = first {
+            return *first == self.me;
+        }
+        let quiet = members
+            .iter()
+            .filter_map(|m| self.peers.get(&m.vm))
+            .all(|p| now.since(p.heard) >= PATIENCE);
+        quiet && now.since(self.started) >= PATIENCE && self.wanted.first() == Some(&self.me)
+    }
+}
+
+fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
+
+/// A peer's span as this VM must count it, with the largest drift.
+fn drifted(span: Ms) -> Ms {
+    Ms(span.0 + span.0 / DRIFT + 1)
+}
--- /dev/null
+++ b/burdocklever/src/flow.rs
@@ -0,0 +1,674 @@
+//! Flows: who decides on a packet, and where it goes.
+//!
+//! The owner of a flow chooses its target with the first packet. An entry VM
+//! learns the target when it passes a packet on, and sends later ones straight
+//! there. An owner that does not know a flow asks its cell before it decides.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire::{Address, HostId, Member, ServiceId};
+
+use crate::cell::{HEARTBEAT, LEASE};
+use crate::code::Code;
+use crate::msg::{Count, FlowKey, FlowPin, Msg, PinBatch};
+use crate::node::{Action, Mark, Node, Packet, PacketId};
+use crate::pin::{IDLE, REFRESH};
+use crate::rank;
+use crate::steward::Target;
+use crate::time::{Ms, Time};
+
+/// Time to wait for answers to `Find` and `Admit`.
+const ASK_WAIT: Ms = Ms(100);
+/// Stewards that are asked to admit one flow.
+const ADMIT_TRIES: usize = 4;
+/// Flows that may wait for a decision at once.
+const PENDING_MAX: usize = 4096;
+/// Packets of one flow that may wait.
+const PENDING_PACKETS: usize = 8;
+/// Pins sent for safe keeping with each heartbeat.
+const BACKUP_BATCH: usize = 256;
+/// Pins handed over in one message.
+const HAND_BATCH: usize = 4096;
+
+/// What the owner of an undecided flow waits for.
+#[derive(Debug, Clone)]
+enum Wait {
+    /// Whether one of these knows the flow.
+    Found(BTreeSet<Member>),
+    /// Whether the steward admits it.
+    Admitted(Member),
+}
+
+#[derive(Debug, Clone)]
+struct Pending {
+    service: ServiceId,
+    packets: Vec<PacketId>,
+    first: bool,
+    wait: Wait,
+    until: Time,
+    tried: Vec<Member>,
+}
+
+/// Packets that await a decision here or at another VM.
+#[derive(Debug, Default)]
+pub(crate) struct Flows {
+    pending: BTreeMap<FlowKey, Pending>,
+    passed: BTreeMap<PacketId, (Packet, Option<HostId>)>,
+    /// Flows admitted since the steward's last heartbeat.
+    recent: BTreeMap<HostId, u32>,
+    /// Until when the owner of a new flow may have changed since an earlier
+    /// packet of it.
+    unsure: Time,
+    /// Pins to send to the next-ranked member.
+    backlog: Vec<FlowKey>,
+    ended: Vec<FlowKey>,
+    refill: bool,
+    handed: bool,
+}
+
+impl Flows {
+    /// Notes that targets or failure domains changed, which moves some flows.
+    pub(crate) fn moved(&mut self, now: Time) {
+        self.unsure = now + IDLE;
+    }
+
+    /// Notes a new view: other members now own and keep some flows.
+    pub(crate) fn view_changed(&mut self, now: Time) {
+        self.unsure = now + IDLE;
+        self.refill = true;
+    }
+}
+
+impl Node {
+    pub(crate) fn packet(&mut self, id: PacketId, packet: Packet) {
+        if !self.has_catalogue() {
+            return self.drop_packet(id, Code::NotReady);
+        }
+        let Some(pin) = self.pins.get(self.now, packet.key) else {
+            return self.route(id, packet, None);
+        };
+        let Some(address) = self.serving(packet.service, pin.host) else {
+            self.pins.remove(packet.key);
+            return self.drop_packet(id, Code::FlowEnded);
+        };
+        if pin.own {
+            self.deliver_own(id, packet, pin.host, address);
+        } else if pin.age < REFRESH && packet.mark == Mark::Later {
+            self.counts.delivered += 1;
+            self.act(Action::Deliver(id, pin.host, address));
+        } else {
+            self.route(id, packet, Some(pin.host));
+        }
+    }
+
+    /// Address of a target that may get packets of an open flow.
+    fn serving(&self, service: Address, host: HostId) -> Option<Address> {
+        let host = self.catalogue.host(host)?;
+        let belongs = self.catalogue.service_at(service) == Some(&host.service);
+        (belongs && self.catalogue.serves(host)).then_some(host.address)
+    }
+
+    fn deliver_own(&mut self, id: PacketId, packet: Packet, host: HostId, address: Address) {
+        if packet.mark == Mark::Last {
+            self.pins.set(self.now, packet.key, host, false);
+            self.flows.ended.push(packet.key);
+        } else {
+            self.pins.touch(self.now, packet.key);
+        }
+        self.counts.delivered += 1;
+        self.act(Action::Deliver(id, host, address));
+    }
+
+    pub(crate) fn drop_packet(&mut self, id: PacketId, code: Code) {
+        self.counts.dropped += 1;
+        if code == Code::NoFlow {
+            self.counts.broken += 1;
+        }
+        self.act(Action::Drop(id, code));
+    }
+
+    /// Passes a packet to the flow's owner, or decides as the owner.
+    fn route(&mut self, id: PacketId, packet: Packet, hint: Option<HostId>) {
+        let Some(service) = self.catalogue.service_at(packet.service).cloned() else {
+            return self.drop_packet(id, Code::NoService);
+        };
+        match self.flow_owner(&service, packet.key) {
+            Some(owner) if owner != self.me => {
+                self.flows.passed.insert(id, (packet, hint));
+                self.act(Action::Pass(id, packet, owner, hint));
+            }
+            _ => self.own_packet(id, packet, service, hint),
+        }
+    }
+
+    /// The first VM in the order of cells and members that is believed to live.
+    fn flow_owner(&self, service: &ServiceId, key: FlowKey) -> Option<Member> {
+        for domain in self.catalogue.cells_for(service, key.0) {
+            let Some(view) = self.catalogue.view(&domain) else {
+                continue;
+            };
+            let members = if domain == self.domain {
+                self.cell.live_members(self.now)
+            } else {
+                view.members.clone()
+            };
+            let order = rank::order(key.0, &members);
+            let live = order.into_iter().find(|m| !self.is_suspect(*m));
+            if live.is_some() {
+                return live;
+            }
+        }
+        None
+    }
+
+    pub(crate) fn passed(&mut self, id: PacketId, packet: Packet, hint: Option<HostId>) {
+        if !self.has_catalogue() {
+            return self.drop_packet(id, Code::NotReady);
+        }
+        let Some(service) = self.catalogue.service_at(packet.service).cloned() else {
+            return self.drop_packet(id, Code::NoService);
+        };
+        self.own_packet(id, packet, service, hint);
+    }
+
+    fn own_packet(
+        &mut self,
+        id: PacketId,
+        packet: Packet,
+        service: ServiceId,
+        hint: Option<HostId>,
+    ) {
+        let key = packet.key;
+        let known = self.pins.get(self.now, key).map(|p| p.host).or(hint);
+        if let Some(host) = known {
+            let Some(address) = self.serving(packet.service, host) else {
+                self.pins.remove(key);
+                return self.drop_packet(id, Code::FlowEnded);
+            };
+            if !self.pins.get(self.now, key).is_some_and(|p| p.own) && packet.mark != Mark::Last {
+                self.adopt(key, host);
+            }
+            return self.deliver_own(id, packet, host, address);
+        }
+        if let Some(pending) = self.flows.pending.get_mut(&key) {
+            pending.first |= packet.mark == Mark::First;
+            if pending.packets.len() < PENDING_PACKETS {
+                pending.packets.push(id);
+                return;
+            }
+            return self.drop_packet(id, Code::Backlog);
+        }
+        if self.flows.pending.len() >= PENDING_MAX {
+            return self.drop_packet(id, Code::Backlog);
+        }
+        let pending = Pending {
+            service,
+            packets: vec![id],
+            first: packet.mark == Mark::First,
+            wait: Wait::Found(BTreeSet::new()),
+            until: self.now + ASK_WAIT,
+            tried: Vec::new(),
+        };
+        self.flows.pending.insert(key, pending);
+        self.ask_for_flow(key);
+    }
+
+    /// Takes on a flow whose target another VM knew.
+    fn adopt(&mut self, key: FlowKey, host: HostId) {
+        self.pins.set(self.now, key, host, true);
+        self.flows.backlog.push(key);
+    }
+
+    /// Asks who knows a flow. A first packet is decided at once while no owner
+    /// can have changed.
+    fn ask_for_flow(&mut self, key: FlowKey) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        let ask = !pending.first || self.now < self.flows.unsure;
+        let asked = if ask {
+            self.may_know(&pending.service, key)
+        } else {
+            BTreeSet::new()
+        };
+        for to in &asked {
+            self.send(*to, Msg::Find { key });
+        }
+        if let Some(pending) = self.flows.pending.get_mut(&key) {
+            pending.wait = Wait::Found(asked);
+        }
+        self.check_found(key);
+    }
+
+    /// Live members of this cell, and the flow's would-be owners in the others.
+    fn may_know(&self, service: &ServiceId, key: FlowKey) -> BTreeSet<Member> {
+        let near = self.cell.alive(self.now).map(|p| p.member);
+        let domains: BTreeSet<_> = self
+            .catalogue
+            .hosts(service)
+            .filter(|h| h.domain != self.domain)
+            .map(|h| &h.domain)
+            .collect();
+        let far = domains.into_iter().filter_map(|domain| {
+            let view = self.catalogue.view(domain)?;
+            let order = rank::order(key.0, &view.members);
+            order.into_iter().find(|m| !self.is_suspect(*m))
+        });
+        near.chain(far).collect()
+    }
+
+    pub(crate) fn find(&mut self, from: Member, key: FlowKey) {
+        let pin = self.pins.get(self.now, key);
+        let serves = |id| {
+            self.catalogue
+                .host(id)
+                .is_some_and(|h| self.catalogue.serves(h))
+        };
+        let host = pin.map(|p| p.host).filter(|id| serves(*id));
+        if let (Some(host), Some(pin)) = (host, pin) {
+            if pin.own {
+                self.pins.set(self.now, key, host, false);
+            }
+        }
+        self.send(from, Msg::Found { key, host });
+    }
+
+    pub(crate) fn found(&mut self, from: Member, key: FlowKey, host: Option<HostId>) {
+        let Some(pending) = self.flows.pending.get_mut(&key) else {
+            return;
+        };
+        let Wait::Found(asked) = &mut pending.wait else {
+            return;
+        };
+        asked.remove(&from);
+        if let Some(host) = host {
+            self.adopt(key, host);
+            self.resolve(key, host);
+        } else {
+            self.check_found(key);
+        }
+    }
+
+    /// Decides on a flow once nobody is left who may know it.
+    fn check_found(&mut self, key: FlowKey) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        if !matches!(&pending.wait, Wait::Found(asked) if asked.is_empty()) {
+            return;
+        }
+        if pending.first {
+            self.seek_admission(key);
+        } else {
+            self.give_up(key, Code::NoFlow);
+        }
+    }
+
+    /// Delivers the packets that waited for a flow's target.
+    fn resolve(&mut self, key: FlowKey, host: HostId) {
+        let Some(pending) = self.flows.pending.remove(&key) else {
+            return;
+        };
+        let serving = self
+            .catalogue
+            .host(host)
+            .filter(|h| h.service == pending.service && self.catalogue.serves(h));
+        let Some(address) = serving.map(|h| h.address) else {
+            self.pins.remove(key);
+            for id in pending.packets {
+                self.drop_packet(id, Code::FlowEnded);
+            }
+            return;
+        };
+        for id in pending.packets {
+            self.counts.delivered += 1;
+            self.act(Action::Deliver(id, host, address));
+        }
+    }
+
+    fn give_up(&mut self, key: FlowKey, code: Code) {
+        let pending = self.flows.pending.remove(&key);
+        for id in pending.into_iter().flat_map(|p| p.packets) {
+            self.drop_packet(id, code);
+        }
+    }
+
+    /// Asks the next steward to admit a new flow.
+    fn seek_admission(&mut self, key: FlowKey) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        let service = pending.service.clone();
+        let choice = if pending.tried.len() < ADMIT_TRIES {
+            self.choose_steward(&service, key, &pending.tried)
+        } else {
+            None
+        };
+        let Some((steward, host)) = choice else {
+            return self.give_up(key, Code::NoRoom);
+        };
+        let until = self.now + ASK_WAIT;
+        if let Some(pending) = self.flows.pending.get_mut(&key) {
+            pending.tried.push(steward);
+            pending.wait = Wait::Admitted(steward);
+            pending.until = until;
+        }
+        if steward == self.me {
+            let host = self.admit_here(self.me, key, &service, host);
+            self.admitted(self.me, key, host);
+        } else {
+            self.send(steward, Msg::Admit { key, service, host });
+        }
+    }
+
+    /// Steward and target for a new flow: of the targets with room in this
+    /// failure domain, the less loaded of two that the key ranks first; then
+    /// the other cells in the key's order.
+    fn choose_steward(
+        &self,
+        service: &ServiceId,
+        key: FlowKey,
+        tried: &[Member],
+    ) -> Option<(Member, HostId)> {
+        let near = self.rooms(service, tried);
+        let best = two_choices(key, near);
+        if best.is_some() {
+            return best;
+        }
+        for domain in self.catalogue.cells_for(service, key.0) {
+            if domain == self.domain {
+                continue;
+            }
+            let hosts = self
+                .catalogue
+                .hosts(service)
+                .filter(|h| h.domain == domain && self.catalogue.takes_new(h));
+            let stewards = hosts.filter_map(|h| Some((self.steward_of(h)?, h.id)));
+            let open = stewards.filter(|(s, _)| !tried.contains(s) && !self.is_suspect(*s));
+            let best = open.max_by_key(|(_, host)| rank::score(key.0, host.0));
+            if best.is_some() {
+                return best;
+            }
+        }
+        None
+    }
+
+    /// Targets of this cell with room, with their load in 1/1024 of what they bear.
+    fn rooms(&self, service: &ServiceId, tried: &[Member]) -> Vec<Room> {
+        let own = self.loads();
+        let peers = self
+            .cell
+            .loads(self.now)
+            .map(|(member, load)| (member, *load));
+        let all = own.into_iter().map(|load| (self.me, load)).chain(peers);
+        let fits = |host: HostId, steward: Member| {
+            self.catalogue.host(host).is_some_and(|h| {
+                h.service == *service
+                    && self.catalogue.takes_new(h)
+                    && self.steward_of(h) == Some(steward)
+            })
+        };
+        all.filter(|(steward, load)| !tried.contains(steward) && fits(load.host, *steward))
+            .filter_map(|(steward, load)| {
+                let recent = self.flows.recent.get(&load.host).copied().unwrap_or(0);
+                let conns = load.conns + if steward == self.me { 0 } else { recent };
+                (conns < load.bears).then_some(Room {
+                    steward,
+                    host: load.host,
+                    conns,
+                })
+            })
+            .collect()
+    }
+
+    pub(crate) fn admit(&mut self, from: Member, key: FlowKey, service: &ServiceId, host: HostId) {
+        let host = self.admit_here(from, key, service, host);
+        self.send(from, Msg::Admitted { key, host });
+    }
+
+    /// Admits a flow at `host`, or at another target that this VM guards.
+    fn admit_here(
+        &mut self,
+        owner: Member,
+        key: FlowKey,
+        service: &ServiceId,
+        host: HostId,
+    ) -> Option<HostId> {
+        if !self.cell.holds_lease(self.now) {
+            return None;
+        }
+        let others = self.stewards.targets.keys().copied().filter(|h| *h != host);
+        let candidates: Vec<HostId> = std::iter::once(host).chain(others).collect();
+        candidates.into_iter().find(|id| {
+            let takes = self
+                .catalogue
+                .host(*id)
+                .is_some_and(|h| h.service == *service && self.catalogue.takes_new(h));
+            let own = self.pins.count(*id);
+            let (now, me) = (self.now, self.me);
+            let target = self.stewards.targets.get_mut(id).filter(|_| takes);
+            target.is_some_and(|t| {
+                t.count(now, me, own, now + Ms(1));
+                t.is_open(now) && t.admit(now, key, owner)
+            })
+        })
+    }
+
+    pub(crate) fn admitted(&mut self, from: Member, key: FlowKey, host: Option<HostId>) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        if !matches!(pending.wait, Wait::Admitted(steward) if steward == from) {
+            return;
+        }
+        let Some(host) = host else {
+            return self.seek_admission(key);
+        };
+        self.counts.opened += 1;
+        *self.flows.recent.entry(host).or_default() += 1;
+        self.adopt(key, host);
+        self.resolve(key, host);
+    }
+
+    pub(crate) fn pass_done(&mut self, id: PacketId, key: FlowKey, host: HostId) {
+        self.flows.passed.remove(&id);
+        if !self.pins.get(self.now, key).is_some_and(|p| p.own) {
+            self.pins.set(self.now, key, host, false);
+        }
+    }
+
+    pub(crate) fn pass_dropped(&mut self, id: PacketId, code: Code) {
+        let passed = self.flows.passed.remove(&id);
+        if let Some((packet, _)) = passed.filter(|_| code == Code::FlowEnded) {
+            self.pins.remove(packet.key);
+        }
+        self.counts.dropped += 1;
+    }
+
+    /// Tries the next VM after one could not be reached.
+    pub(crate) fn pass_failed(&mut self, id: PacketId, to: Member) {
+        self.suspect(to);
+        if let Some((packet, hint)) = self.flows.passed.remove(&id) {
+            self.route(id, packet, hint);
+        }
+    }
+
+    /// Moves on from questions that were not answered in time.
+    pub(crate) fn tick_flows(&mut self) {
+        let now = self.now;
+        let late = self.flows.pending.iter().filter(|(_, p)| now >= p.until);
+        let late: Vec<FlowKey> = late.map(|(key, _)| *key).collect();
+        for key in late {
+            let Some(pending) = self.flows.pending.get_mut(&key) else {
+                continue;
+            };
+            match &mut pending.wait {
+                Wait::Found(asked) => {
+                    asked.clear();
+                    self.check_found(key);
+                }
+                Wait::Admitted(_) => self.seek_admission(key),
+            }
+        }
+    }
+
+    /// Numbers of own flows at the targets that `to` guards.
+    pub(crate) fn pin_counts(&self, to: Member) -> Vec<Count> {
+        let guarded = self
+            .catalogue
+            .all_hosts()
+            .filter(|h| h.domain == self.domain && self.steward_of(h) == Some(to));
+        let counts = guarded.map(|h| Count {
+            host: h.id,
+            count: self.pins.count(h.id),
+        });
+        counts.filter(|c| c.count > 0).collect()
+    }
+
+    /// Takes in an owner's numbers of flows at the targets guarded here.
+    pub(crate) fn told_pins(&mut self, from: Member, counts: &[Count], echo: Option<Time>) {
+        // An answer sent before the echoed heartbeat may arrive after it.
+        let known = echo.map_or(Time(0), |at| Time(at.0.saturating_sub(2 * HEARTBEAT.0)));
+        let now = self.now;
+        for (id, target) in &mut self.stewards.targets {
+            let told = counts.iter().find(|c| c.host == *id);
+            target.count(now, from, told.map_or(0, |c| c.count), known);
+        }
+        let told: Vec<HostId> = self
+            .cell
+            .peer(from.vm)
+            .into_iter()
+            .flat_map(|p| p.last.loads.iter().map(|l| l.host))
+            .collect();
+        for host in told {
+            self.flows.recent.remove(&host);
+        }
+    }
+
+    /// Sends new pins to the member that would own them next.
+    pub(crate) fn send_backups(&mut self) {
+        if self.flows.refill && self.flows.backlog.is_empty() {
+            self.flows.refill = false;
+            self.flows.backlog = self.pins.own_keys();
+        }
+        let mut batches: BTreeMap<Member, PinBatch> = BTreeMap::new();
+        let rest = self.flows.backlog.len().saturating_sub(BACKUP_BATCH);
+        for key in self.flows.backlog.split_off(rest) {
+            let pin = self.pins.get(self.now, key).filter(|p| p.own);
+            if let (Some(pin), Some(next)) = (pin, self.keeper(key)) {
+                let host = pin.host;
+                batches
+                    .entry(next)
+                    .or_default()
+                    .pins
+                    .push(FlowPin { key, host });
+            }
+        }
+        for key in std::mem::take(&mut self.flows.ended) {
+            if let Some(next) = self.keeper(key) {
+                batches.entry(next).or_default().ended.push(key);
+            }
+        }
+        for (to, batch) in batches {
+            self.send(to, Msg::Pins(batch));
+        }
+    }
+
+    /// The member that would own a flow if this VM ended.
+    fn keeper(&self, key: FlowKey) -> Option<Member> {
+        let live = self.cell.live_members(self.now);
+        rank::order(key.0, &live)
+            .into_iter()
+            .find(|m| *m != self.me)
+    }
+
+    /// Keeps another owner's pins. A pin that this VM owns stays as it is.
+    pub(crate) fn back_up(&mut self, batch: PinBatch) {
+        for FlowPin { key, host } in batch.pins {
+            if !self.pins.get(self.now, key).is_some_and(|p| p.own) {
+                self.pins.keep(self.now, key, host);
+            }
+        }
+        for key in batch.ended {
+            self.pins.release(self.now, key);
+        }
+    }
+
+    /// Takes on the flows that this VM kept for an owner that left the view.
+    pub(crate) fn take_flows(&mut self) {
+        let members = &self.cell.view().members;
+        let me = self.me;
+        let taken = self
+            .pins
+            .promote(self.now, |key| rank::top(key.0, members) == Some(me));
+        self.flows.backlog.extend(taken);
+    }
+
+    /// Hands all own pins to their next owners before this VM stops. Returns
+    /// whether it was done before.
+    pub(crate) fn hand_pins(&mut self) -> bool {
+        if self.flows.handed {
+            return true;
+        }
+        self.flows.handed = true;
+        let mut lists: BTreeMap<Member, Vec<FlowPin>> = BTreeMap::new();
+        for key in self.pins.own_keys() {
+            if let (Some(pin), Some(next)) = (self.pins.get(self.now, key), self.keeper(key)) {
+                let host = pin.host;
+                lists.entry(next).or_default().push(FlowPin { key, host });
+            }
+        }
+        for (to, pins) in lists {
+            for batch in pins.chunks(HAND_BATCH) {
+                let pins = batch.to_vec();
+                let ended = Vec::new();
+                self.send(to, Msg::Pins(PinBatch { pins, ended }));
+            }
+        }
+        false
+    }
+
+    /// Takes over the targets that the view makes this VM steward of.
+    pub(crate) fn take_targets(&mut self) {
+        let number = self.cell.view().number;
+        let near = self
+            .catalogue
+            .all_hosts()
+            .filter(|h| h.domain == self.domain);
+        let mine: Vec<wire::Host> = near
+            .filter(|h| self.catalogue.serves(h) && self.steward_of(h) == Some(self.me))
+            .cloned()
+            .collect();
+        let ids: BTreeSet<HostId> = mine.iter().map(|h| h.id).collect();
+        self.stewards.targets.retain(|id, _| ids.contains(id));
+        for host in mine {
+            let Some(service) = self.catalogue.service(&host.service) else {
+                continue;
+            };
+            let (limits, longest) = (service.limits, Ms(service.deadline_ms));
+            if let Some(target) = self.stewards.targets.get_mut(&host.id) {
+                target.limits = limits;
+                continue;
+            }
+            let mut target = Target::new(self.now, limits, number);
+            target.awaited = self.neighbours().into_iter().collect();
+            target.hold = self.now + LEASE + LEASE + longest;
+            self.stewards.targets.insert(host.id, target);
+        }
+    }
+}
+
+/// A target with room.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    steward: Member,
+    host: HostId,
+    conns: u32,
+}
+
+/// The less loaded of the two targets that the key ranks first.
+fn two_choices(key: FlowKey, mut rooms: Vec<Room>) -> Option<(Member, HostId)> {
+    rooms.sort_by_key(|r| std::cmp::Reverse(rank::score(key.0, r.host.0)));
+    let best = rooms.iter().take(2).min_by_key(|r| r.conns)?;
+    Some((best.steward, best.host))
+}
--- /dev/null
+++ b/burdocklever/src/key.rs
@@ -0,0 +1,108 @@
+//! Idempotency keys.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use wire::{IdError, Incarnation, Member, VmId};
+
+use crate::rank;
+use crate::time::{Ms, Time};
+
+/// Prefix of keys that an entry VM issued.
+const ISSUED: &str = "bl-";
+/// Longest key text in bytes.
+const KEY_MAX: usize = 128;
+
+/// Names a request that may not be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, SerializeDisplay, DeserializeFromStr)]
+pub enum Key {
+    /// Issued by an entry VM, which owns it for good.
+    Issued(Issued),
+    /// Made by the caller; the hash of its text.
+    Made(u64),
+}
+
+/// A key that names its owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Issued {
+    /// The life of the VM that issued it.
+    pub member: Member,
+    /// When it was issued, on the issuer's clock.
+    pub at: Time,
+    /// Distinguishes keys issued at the same time.
+    pub seq: u64,
+}
+
+impl Issued {
+    /// Time since the key was issued, on the issuer's clock.
+    pub(crate) fn age(&self, now: Time) -> Ms {
+        now.since(self.at)
+    }
+}
+
+impl Key {
+    /// Hash under which the key's claim is kept.
+    pub fn hash(&self) -> u64 {
+        match self {
+            Key::Issued(_) => rank::hash(self.to_string().as_bytes()),
+            Key::Made(hash) => *hash,
+        }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Key::Issued(k) => write!(
+                f,
+                "{ISSUED}{}-{}-{}-{}",
+                k.member.vm, k.member.life, k.at.0, k.seq
+            ),
+            Key::Made(hash) => write!(f, "bm-{hash:016x}"),
+        }
+    }
+}
+
+impl FromStr for Key {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Key, IdError> {
+        let fail = || IdError {
+            expected: "a key of 1 to 128 visible characters, or one that a VM issued",
+            found: s.into(),
+        };
+        if s.is_empty() || s.len() > KEY_MAX || !s.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(fail());
+        }
+        if let Some(rest) = s.strip_prefix(ISSUED) {
+            return issued(rest).map(Key::Issued).ok_or_else(fail);
+        }
+        if let Some(hash) = s.strip_prefix("bm-").filter(|h| h.len() == 16) {
+            if let Ok(hash) = u64::from_str_radix(hash, 16) {
+                return Ok(Key::Made(hash));
+            }
+        }
+        Ok(Key::Made(rank::hash(s.as_bytes())))
+    }
+}
+
+fn issued(text: &str) -> Option<Issued> {
+    let mut parts = text.split('-').map(|p| p.parse::<u64>().ok());
+    let vm = u32::try_from(parts.next()??).ok()?;
+    let life = parts.next()??;
+    let at = parts.next()??;
+    let seq = parts.next()??;
+    if parts.next().is_some() {
+        return None;
+    }
+    Some(Issued {
+        member: Member {
+            vm: VmId(vm),
+            life: Incarnation(life),
+        },
+        at: Time(at),
+        seq,
+    })
+}
--- /dev/null
+++ b/burdocklever/src/lib.rs
@@ -0,0 +1,75 @@
+//! burdocklever, a layer-4 load balancer.
+//!
+//! The decisions of an entry VM are a pure state machine, [`Node`]: a driver
+//! feeds events with the time of its clock and pulls the actions that follow.
+//! The adapters around it connect the node to the fabric, callers, targets,
+//! the platform and other entry VMs.
+//!
+//! ```
+//! use burdocklever::{Action, Code, Event, FlowKey, Mark, Node, Packet, PacketId, Time};
+//! use wire::{Incarnation, Member, VmId};
+//!
+//! let me = Member { vm: VmId(1), life: Incarnation(1) };
+//! let mut node = Node::new(Time(0), me, "accra".parse().unwrap());
+//! let packet = Packet {
+//!     key: FlowKey(7),
+//!     service: "127.0.0.1:9000".parse().unwrap(),
+//!     mark: Mark::First,
+//! };
+//! node.feed(Time(1), Event::Packet(PacketId(1), packet));
+//! assert_eq!(node.pull(), Some(Action::Drop(PacketId(1), Code::NotReady)));
+//! assert_eq!(node.pull(), None);
+//! ```
+
+mod bear;
+mod catalogue;
+mod cell;
+mod claim;
+mod code;
+mod daemon;
+mod driver;
+mod edge;
+mod entry;
+mod flow;
+mod key;
+pub mod logs;
+mod metrics;
+mod msg;
+mod node;
+mod operate;
+mod peer;
+mod pin;
+mod platform;
+mod rank;
+mod request;
+mod settings;
+mod settle;
+mod source;
+mod status;
+mod steward;
+mod time;
+mod trace;
+
+pub use bear::Bearing;
+pub use catalogue::{Catalogue, Delta};
+pub use cell::{DRIFT, HEARTBEAT, LEASE, SILENCE};
+pub use claim::{Answer, Claim, Claims, KEY_LIFE};
+pub use code::Code;
+pub use daemon::{Daemon, Error as DaemonError};
+/// Catalogue files.
+pub mod entries {
+    pub use crate::entry::{open, parse};
+}
+
+pub use key::{Issued, Key};
+pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
+pub use node::{Action, Counts, End, Event, Hop, Mark, Node, Packet, PacketId, ReqId, Request};
+pub use operate::{Change, Error as OperatorError, Operator};
+pub use pin::{Pinned, Pins, IDLE, REFRESH};
+pub use platform::{Error as PlatformError, Platform};
+pub use rank::{hash, score};
+pub use settings::Settings;
+pub use source::Error as SourceError;
+pub use status::Status;
+pub use time::{Ms, Time};
+pub use trace::open as trace_to;
--- /dev/null
+++ b/burdocklever/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Metrics in the Prometheus text form.
+
+use std::sync::{Arc, Mutex};
+
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::driver::Driver;
+use crate::node::Node;
+
+/// Values that the instruments report.
+#[derive(Debug, Clone, Default)]
+struct Sample {
+    counters: Vec<(&'static str, u64)>,
+    gauges: Vec<(&'static str, u64)>,
+}
+
+/// Instruments of one entry VM.
+pub(crate) struct Metrics {
+    registry: Registry,
+    sample: Arc<Mutex<Sample>>,
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Sets up the instruments.
+    ///
+    /// # Errors
+    ///
+    /// The exporter's error.
+    pub(crate) fn open() -> std::result::Result<Metrics, Box<dyn std::error::Error + Send + Sync>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("burdocklever");
+        let sample = Arc::new(Mutex::new(Sample::default()));
+        let read = sample.clone();
+        meter
+            .u64_observable_counter("burdocklever_events")
+            .with_description("Decisions since the start, by kind")
+            .with_callback(move |observer| {
+                let sample = read.lock().unwrap_or_else(|e| e.into_inner());
+                for (kind, value) in &sample.counters {
+                    observer.observe(*value, &[KeyValue::new("kind", *kind)]);
+                }
+            })
+            .build();
+        let read = sample.clone();
+        meter
+            .u64_observable_gauge("burdocklever_state")
+            .with_description("State held now, by kind")
+            .with_callback(move |observer| {
+                let sample = read.lock().unwrap_or_else(|e| e.into_inner());
+                for (kind, value) in &sample.gauges {
+                    observer.observe(*value, &[KeyValue::new("kind", *kind)]);
+                }
+            })
+            .build();
+        Ok(Metrics {
+            registry,
+            sample,
+            _provider: provider,
+        })
+    }
+
+    /// The current values as text.
+    pub(crate) fn text(&self, driver: &Driver) -> String {
+        let control = driver.control_bytes();
+        let sample = driver.read(|node| sample(node, control));
+        *self.sample.lock().unwrap_or_else(|e| e.into_inner()) = sample;
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if let Err(error) = encoded {
+            log::warn!(target: "metrics", "Metrics not encoded: {error}.");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+fn sample(node: &Node, control: u64) -> Sample {
+    let c = node.counts();
+    Sample {
+        counters: vec![
+            ("packets_delivered", c.delivered),
+            ("packets_dropped", c.dropped),
+            ("packets_of_unknown_flows", c.broken),
+            ("flows_opened", c.opened),
+            ("requests_answered", c.answered),
+            ("requests_refused", c.refused),
+            ("requests_unknown", c.unknown),
+            ("control_bytes_sent", control),
+        ],
+        gauges: vec![
+            ("pins", node.pins() as u64),
+            ("claims", node.claims() as u64),
+            ("view", node.view().number.0),
+            ("catalogue_version", node.catalogue().through().0),
+            ("ready", u64::from(node.is_ready())),
+            ("lease", u64::from(node.holds_lease())),
+        ],
+    }
+}
--- /dev/null
+++ b/burdocklever/src/node.rs
@@ -0,0 +1,567 @@
+//! One entry VM's decisions, without I/O, clock or randomness.
+//!
+//! A driver feeds events with the time of its monotonic clock and pulls the
+//! actions that follow. The same events give the same actions.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use wire::{Address, DomainId, HostId, Member, Object, ObjectKey, ServiceId, State, Version, View};
+
+use crate::catalogue::{Catalogue, Delta};
+use crate::cell::{Cell, HEARTBEAT};
+use crate::claim::{Answer, Claims};
+use crate::code::Code;
+use crate::flow::Flows;
+use crate::key::Key;
+use crate::msg::{FlowKey, Heartbeat, Msg};
+use crate::pin::{Pins, IDLE};
+use crate::rank;
+use crate::request::Jobs;
+use crate::settle::Settle;
+use crate::steward::Stewards;
+use crate::time::{Ms, Time};
+
+/// Time between checks of the pin table and greetings to other cells.
+const HOUSEKEEPING: Ms = Ms(1000);
+/// Members of a cell that watch the platform.
+const WATCHERS: usize = 2;
+/// Time for which a VM that failed to answer is passed over.
+const SUSPECT: Ms = Ms(1000);
+
+/// Identifies a packet that the driver holds until a final action on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PacketId(pub u64);
+
+/// Identifies a request that the driver holds until its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReqId(pub u64);
+
+/// A packet's place in its flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Mark {
+    /// Opens the flow.
+    First,
+    /// Belongs to an open flow.
+    Later,
+    /// Ends the flow.
+    Last,
+}
+
+/// A packet's decision data.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Packet {
+    /// Hash of the caller's and the service's address.
+    pub key: FlowKey,
+    /// Address that the caller sent to.
+    pub service: Address,
+    /// Place in the flow.
+    pub mark: Mark,
+}
+
+/// What a forwarded request asks of the receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Hop {
+    /// Own the key: claim it and see it through.
+    Own,
+    /// Run it at a target that the receiver is steward of.
+    Run,
+}
+
+/// A request's decision data.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Service that it is for.
+    pub service: ServiceId,
+    /// Idempotency key.
+    pub key: Option<Key>,
+    /// Time that the sender is willing to wait.
+    pub deadline: Ms,
+}
+
+/// How a request or an attempt at it ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// A target answered.
+    Answered(Answer),
+    /// This attempt did not start and never will; the request may be tried elsewhere.
+    NotStarted {
+        /// When trying again makes sense.
+        after: Ms,
+        /// The target itself refused.
+        shed: bool,
+    },
+    /// Nothing is said of the request; ask again with the same key.
+    Busy {
+        /// When to come back.
+        after: Ms,
+    },
+    /// The request was not run and never will be.
+    NotRun {
+        /// When to come back with a new key.
+        after: Ms,
+    },
+    /// The request may have run.
+    Unknown {
+        /// When to ask again.
+        after: Ms,
+    },
+    /// The owner of the key has ended; nobody will ever know more.
+    Lost,
+    /// The request needs an idempotency key; this one may be used.
+    NeedKey(Key),
+    /// The request is wrong.
+    Refused(Code),
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time passed. Due every few tens of milliseconds.
+    Tick,
+    /// The platform's list or watch told of objects.
+    Synced(Delta),
+    /// A message arrived from another VM.
+    Msg(Member, Msg),
+    /// A packet arrived from the fabric.
+    Packet(PacketId, Packet),
+    /// Another VM passed a packet to this one, with the target it knows.
+    Passed(PacketId, Packet, Option<HostId>),
+    /// The VM that a packet was passed to delivered it.
+    PassDone(PacketId, FlowKey, HostId),
+    /// The VM that a packet was passed to dropped it.
+    PassDropped(PacketId, Code),
+    /// A packet could not be passed to a VM.
+    PassFailed(PacketId, Member),
+    /// A caller sent a request.
+    Request(ReqId, Request),
+    /// Another VM forwarded a request.
+    Work(ReqId, Hop, Request),
+    /// The VM that a request was forwarded to replied, or could not be reached.
+    Forwarded(ReqId, End),
+    /// A dispatched request ended.
+    Ended(ReqId, End),
+    /// A target's load endpoint told its incarnation.
+    Reported(HostId, wire::Incarnation),
+    /// The daemon was told to stop.
+    Stop,
+}
+
+/// What the driver must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a packet to a target.
+    Deliver(PacketId, HostId, Address),
+    /// Pass a packet to another VM, with the target this one knows.
+    Pass(PacketId, Packet, Member, Option<HostId>),
+    /// Drop a packet.
+    Drop(PacketId, Code),
+    /// Send a message to another VM.
+    Send(Member, Msg),
+    /// Answer a request.
+    Reply(ReqId, End),
+    /// Forward a request to another VM.
+    Forward(ReqId, Member, Hop, Request),
+    /// Send a request to a target, to end within the given time.
+    Dispatch(ReqId, HostId, Address, Ms),
+    /// Cancel a dispatched request; its end is still awaited.
+    Cancel(ReqId),
+    /// Write a cell's view if the object still has the given version.
+    PutView(ObjectKey, Version, View),
+    /// Start or stop watching the platform.
+    Watch(bool),
+    /// Nothing is in progress any more; the daemon may exit.
+    Stopped,
+}
+
+/// Counters for metrics and status.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Counts {
+    /// Packets sent to targets.
+    pub delivered: u64,
+    /// Packets dropped.
+    pub dropped: u64,
+    /// Packets of flows that no VM knew.
+    pub broken: u64,
+    /// Flows opened.
+    pub opened: u64,
+    /// Requests answered by targets.
+    pub answered: u64,
+    /// Requests refused with a time to come back.
+    pub refused: u64,
+    /// Requests whose outcome is unknown.
+    pub unknown: u64,
+}
+
+/// Decision state of one entry VM.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) me: Member,
+    pub(crate) domain: DomainId,
+    pub(crate) now: Time,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) cell: Cell,
+    pub(crate) settle: Settle,
+    pub(crate) claims: Claims,
+    pub(crate) pins: Pins,
+    pub(crate) flows: Flows,
+    pub(crate) jobs: Jobs,
+    pub(crate) stewards: Stewards,
+    pub(crate) suspects: BTreeMap<Member, Time>,
+    pub(crate) counts: Counts,
+    pub(crate) leaving: bool,
+    out: VecDeque<Action>,
+    beat_due: Time,
+    keep_due: Time,
+    watching: bool,
+    greeted: u64,
+    stopped: bool,
+}
+
+impl Node {
+    /// A VM that knows nothing yet.
+    pub fn new(now: Time, me: Member, domain: DomainId) -> Node {
+        Node {
+            me,
+            domain,
+            now,
+            catalogue: Catalogue::default(),
+            cell: Cell::new(me, now),
+            settle: Settle::new(now),
+            claims: Claims::default(),
+            pins: Pins::default(),
+            flows: Flows::default(),
+            jobs: Jobs::default(),
+            stewards: Stewards::default(),
+            suspects: BTreeMap::new(),
+            counts: Counts::default(),
+            leaving: false,
+            out: VecDeque::new(),
+            beat_due: now,
+            keep_due: now,
+            watching: false,
+            greeted: me.vm.0.into(),
+            stopped: false,
+        }
+    }
+
+    /// Takes in an event. `now` never goes back.
+    pub fn feed(&mut self, now: Time, event: Event) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.tick(),
+            Event::Synced(delta) => self.synced(delta),
+            Event::Msg(from, msg) => self.receive(from, msg),
+            Event::Packet(id, packet) => self.packet(id, packet),
+            Event::Passed(id, packet, hint) => self.passed(id, packet, hint),
+            Event::PassDone(id, key, host) => self.pass_done(id, key, host),
+            Event::PassDropped(id, code) => self.pass_dropped(id, code),
+            Event::PassFailed(id, to) => self.pass_failed(id, to),
+            Event::Request(id, request) => self.request(id, request),
+            Event::Work(id, hop, request) => self.work(id, hop, request),
+            Event::Forwarded(id, end) => self.forwarded(id, end),
+            Event::Ended(id, end) => self.ended(id, end),
+            Event::Reported(host, life) => self.reported(host, life),
+            Event::Stop => self.leaving = true,
+        }
+    }
+
+    /// The next action, in order.
+    pub fn pull(&mut self) -> Option<Action> {
+        self.out.pop_front()
+    }
+
+    /// This life of the VM.
+    pub fn member(&self) -> Member {
+        self.me
+    }
+
+    /// What the VM knows of the platform's objects.
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// Counters since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The cell's view that this VM follows.
+    pub fn view(&self) -> &View {
+        self.cell.view()
+    }
+
+    /// Number of flow pins held.
+    pub fn pins(&self) -> usize {
+        self.pins.len()
+    }
+
+    /// Failure domain that this VM runs in.
+    pub fn domain(&self) -> &DomainId {
+        &self.domain
+    }
+
+    /// Number of claims held.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Number of requests in this VM's care.
+    pub fn in_progress(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether this VM holds a lease under its cell's view.
+    pub fn holds_lease(&self) -> bool {
+        self.cell.holds_lease(self.now)
+    }
+
+    /// Whether the VM may take traffic: it has a catalogue and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        self.has_catalogue() && !self.leaving
+    }
+
+    /// Loads of the targets that this VM is steward of.
+    pub fn loads(&self) -> Vec<crate::msg::Load> {
+        self.stewards.loads(|host| self.elsewhere(host))
+    }
+
+    pub(crate) fn has_catalogue(&self) -> bool {
+        self.catalogue.through() > Version(0)
+    }
+
+    pub(crate) fn act(&mut self, action: Action) {
+        self.out.push_back(action);
+    }
+
+    pub(crate) fn send(&mut self, to: Member, msg: Msg) {
+        self.act(Action::Send(to, msg));
+    }
+
+    fn tick(&mut self) {
+        if !self.has_catalogue() {
+            return;
+        }
+        self.note_ended_members();
+        self.settle_view();
+        if self.now >= self.beat_due {
+            self.beat_due = self.now + HEARTBEAT;
+            self.send_backups();
+            self.beat();
+            self.propose();
+            self.update_watch();
+        }
+        self.tick_flows();
+        self.tick_jobs();
+        if self.now >= self.keep_due {
+            self.keep_due = self.now + HOUSEKEEPING;
+            self.keep_house();
+        }
+        self.check_stopped();
+    }
+
+    /// VMs of this failure domain, without this one.
+    pub(crate) fn neighbours(&self) -> Vec<Member> {
+        let near = self
+            .catalogue
+            .vms()
+            .filter(|v| v.domain == self.domain && v.state != State::Gone);
+        near.map(|v| v.member)
+            .filter(|m| m.vm != self.me.vm)
+            .collect()
+    }
+
+    fn beat(&mut self) {
+        for to in self.neighbours() {
+            let beat = Heartbeat {
+                at: self.now,
+                echo: self.cell.grant(self.now, to.vm),
+                view: self.cell.view().number,
+                lapse: self.cell.lapse(self.now),
+                through: self.catalogue.through(),
+                leaving: self.leaving,
+                loads: self.loads(),
+                busy: self.stewards.foreign(),
+                pins: self.pin_counts(to),
+            };
+            self.send(to, Msg::Heartbeat(Box::new(beat)));
+        }
+    }
+
+    fn propose(&mut self) {
+        let settled = self.settle.is_settled();
+        if let Some(view) = self.cell.propose(self.now, self.leaving, settled) {
+            let key = ObjectKey::new("view", &self.domain);
+            let version = self.catalogue.version(&key);
+            self.act(Action::PutView(key, version, view));
+        }
+    }
+
+    fn update_watch(&mut self) {
+        let key = rank::hash(self.domain.as_str().as_bytes());
+        let alive = self.cell.alive(self.now).map(|p| p.member.vm);
+        let watch = rank::among_first(key, alive, self.me.vm, WATCHERS);
+        if watch != self.watching {
+            self.watching = watch;
+            self.act(Action::Watch(watch));
+        }
+    }
+
+    fn note_ended_members(&mut self) {
+        let view = self.cell.view();
+        let all = view.members.iter().chain(view.old.iter().flatten());
+        let ended: Vec<Member> = all
+            .copied()
+            .filter(|m| self.catalogue.is_gone(*m))
+            .collect();
+        for member in ended {
+            self.cell.note_gone(self.now, member);
+        }
+    }
+
+    fn keep_house(&mut self) {
+        let catalogue = &self.catalogue;
+        let serves = |id| catalogue.host(id).is_some_and(|h| catalogue.serves(h));
+        self.pins.sweep(self.now, serves);
+        self.claims.expire(self.now);
+        let now = self.now;
+        self.suspects.retain(|_, until| now < *until);
+        for target in self.stewards.targets.values_mut() {
+            let limits = target.limits;
+            target.bearing.tick(now, &limits);
+            target.expire(now, IDLE);
+        }
+        self.greet();
+    }
+
+    /// Tells one VM of another cell, in turn, how much of the catalogue is known.
+    fn greet(&mut self) {
+        let far: Vec<Member> = self
+            .catalogue
+            .vms()
+            .filter(|v| v.domain != self.domain && v.state != State::Gone)
+            .map(|v| v.member)
+            .collect();
+        if far.is_empty() {
+            return;
+        }
+        self.greeted += 1;
+        let to = far[(rank::score(self.greeted, self.me.vm.0.into()) % far.len() as u64) as usize];
+        let through = self.catalogue.through();
+        self.send(to, Msg::Hello { through });
+    }
+
+    fn receive(&mut self, from: Member, msg: Msg) {
+        match msg {
+            Msg::Heartbeat(beat) => self.heard(from, *beat),
+            Msg::Hello { through } => self.greeted_by(from, through),
+            Msg::Pull { from: above } => {
+                if self.catalogue.through() > above {
+                    let delta = self.catalogue.delta(above);
+                    self.send(from, Msg::Delta(delta));
+                }
+            }
+            Msg::Delta(delta) => {
+                self.merge(delta);
+            }
+            Msg::Ask { view } => self.asked(from, view),
+            Msg::Handover {
+                view,
+                taint,
+                claims,
+            } => self.handed(from, view, taint, *claims),
+            Msg::Note { view, key } => self.note(from, view, key),
+            Msg::Noted { view, key } => self.noted(view, key),
+            Msg::Find { key } => self.find(from, key),
+            Msg::Found { key, host } => self.found(from, key, host),
+            Msg::Admit { key, service, host } => self.admit(from, key, &service, host),
+            Msg::Admitted { key, host } => self.admitted(from, key, host),
+            Msg::Pins(batch) => self.back_up(batch),
+        }
+    }
+
+    fn heard(&mut self, from: Member, beat: Heartbeat) {
+        let through = beat.through;
+        let counts = beat.pins.clone();
+        let echo = beat.echo;
+        if !self.cell.hear(self.now, from, beat) {
+            return;
+        }
+        if through > self.catalogue.through() {
+            let above = self.catalogue.through();
+            self.send(from, Msg::Pull { from: above });
+        }
+        self.told_busy(from);
+        self.told_pins(from, &counts, echo);
+    }
+
+    fn greeted_by(&mut self, from: Member, through: Version) {
+        let mine = self.catalogue.through();
+        if through > mine {
+            self.send(from, Msg::Pull { from: mine });
+        } else if through < mine {
+            self.send(from, Msg::Hello { through: mine });
+        }
+    }
+
+    /// Takes in what the platform told and pushes it to the neighbours.
+    fn synced(&mut self, delta: Delta) {
+        let from = self.catalogue.through();
+        let objects = self.merge(delta);
+        if objects.is_empty() || from == Version(0) {
+            return;
+        }
+        let through = self.catalogue.through();
+        for to in self.neighbours() {
+            let delta = Delta {
+                from,
+                through,
+                objects: objects.clone(),
+            };
+            self.send(to, Msg::Delta(delta));
+        }
+    }
+
+    fn merge(&mut self, delta: Delta) -> Vec<Object> {
+        let fresh = self.catalogue.apply(delta);
+        let moves = |o: &Object| matches!(&*o.key.kind, "host" | "domain");
+        if fresh.iter().any(moves) {
+            self.flows.moved(self.now);
+        }
+        let view = self.catalogue.view(&self.domain).cloned();
+        let newer = view.is_some_and(|view| self.cell.set_view(self.now, &view));
+        if newer {
+            self.view_changed();
+            self.take_flows();
+        }
+        if newer || !fresh.is_empty() {
+            self.take_targets();
+        }
+        fresh
+    }
+
+    /// Member that stewards a target, by its cell's view.
+    pub(crate) fn steward_of(&self, host: &wire::Host) -> Option<Member> {
+        let view = self.catalogue.view(&host.domain)?;
+        rank::top(host.id.0, &view.members)
+    }
+
+    pub(crate) fn suspect(&mut self, member: Member) {
+        self.suspects.insert(member, self.now + SUSPECT);
+    }
+
+    pub(crate) fn is_suspect(&self, member: Member) -> bool {
+        self.suspects.get(&member).is_some_and(|t| self.now < *t) || self.catalogue.is_gone(member)
+    }
+
+    fn check_stopped(&mut self) {
+        if !self.leaving || self.stopped {
+            return;
+        }
+        let others = self.cell.alive(self.now).any(|p| !p.last.leaving);
+        let left = !self.cell.is_member() || !others;
+        if left && self.jobs.is_empty() && self.stewards.total_running() == 0 && self.hand_pins() {
+            self.stopped = true;
+            self.act(Action::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/burdocklever/src/peer.rs
@@ -0,0 +1,169 @@
+//! Remote calls between entry VMs.
+//!
+//! Packets and short messages go by tarpc. Bulk (catalogue, claims, pins) goes
+//! as MessagePack over HTTP, see [`crate::edge`].
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::Mutex;
+use wire::{Address, HostId};
+
+use crate::code::Code;
+use crate::driver::Driver;
+use crate::msg::{Envelope, Msg};
+use crate::node::Packet;
+
+/// Time that a remote call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that connecting to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest frame in bytes.
+const FRAME_MAX: usize = 1 << 20;
+/// Calls that one connection serves at once.
+const CALLS_MAX: usize = 1024;
+
+/// Result of a remote call.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// A peer that could not be reached or did not answer in time.
+#[derive(Debug, thiserror::Error)]
+#[error("peer not reached: {0}")]
+pub(crate) struct Error(Box<str>);
+
+/// What became of a passed packet.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) enum Passed {
+    /// Sent to this target.
+    Delivered(HostId),
+    /// Dropped.
+    Dropped(Code),
+}
+
+#[tarpc::service]
+pub(crate) trait Peer {
+    /// Decides on a packet and sends it to its target.
+    async fn pass(packet: Packet, hint: Option<HostId>, datagram: Bytes) -> Passed;
+    /// Takes in a message.
+    async fn tell(envelope: Envelope);
+}
+
+#[derive(Clone)]
+struct Server(Arc<Driver>);
+
+impl Peer for Server {
+    async fn pass(
+        self,
+        _: tarpc::context::Context,
+        packet: Packet,
+        hint: Option<HostId>,
+        datagram: Bytes,
+    ) -> Passed {
+        self.0.passed(packet, hint, datagram).await
+    }
+
+    async fn tell(self, _: tarpc::context::Context, envelope: Envelope) {
+        self.0.told(envelope);
+    }
+}
+
+/// Serves remote calls at `address` until the returned task is dropped.
+pub(crate) async fn bind(
+    address: Address,
+    driver: Arc<Driver>,
+) -> std::io::Result<tokio::task::JoinHandle<()>> {
+    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+    listener.config_mut().max_frame_length(FRAME_MAX);
+    Ok(tokio::spawn(async move {
+        while let Some(transport) = listener.next().await {
+            let Ok(transport) = transport else { continue };
+            let server = Server(driver.clone());
+            let calls = BaseChannel::with_defaults(transport)
+                .max_concurrent_requests(CALLS_MAX)
+                .execute(server.serve())
+                .for_each(|call| async move {
+                    tokio::spawn(call);
+                });
+            tokio::spawn(calls);
+        }
+    }))
+}
+
+/// Connections to peers, opened on demand.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<Address, PeerClient>>,
+}
+
+impl Peers {
+    async fn client(&self, address: Address) -> Result<PeerClient> {
+        let mut clients = self.clients.lock().await;
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        drop(clients);
+        let mut connect = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+        connect.config_mut().max_frame_length(FRAME_MAX);
+        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connect)
+            .await
+            .map_err(|_| Error("connecting took too long".into()))?
+            .map_err(|e| Error(e.to_string().into()))?;
+        let client = PeerClient::new(tarpc::client::Config::default(), transport).spawn();
+        clients = self.clients.lock().await;
+        Ok(clients.entry(address).or_insert(client).clone())
+    }
+
+    /// Forgets a connection that failed.
+    async fn forget(&self, address: Address) {
+        self.clients.lock().await.remove(&address);
+    }
+
+    pub(crate) async fn pass(
+        &self,
+        address: Address,
+        packet: Packet,
+        hint: Option<HostId>,
+        datagram: Bytes,
+    ) -> Result<Passed> {
+        let client = self.client(address).await?;
+        let reply = client.pass(context(), packet, hint, datagram).await;
+        self.check(address, reply).await
+    }
+
+    pub(crate) async fn tell(&self, address: Address, envelope: Envelope) -> Result<()> {
+        let client = self.client(address).await?;
+        let reply = client.tell(context(), envelope).await;
+        self.check(address, reply).await
+    }
+
+    async fn check<T>(
+        &self,
+        address: Address,
+        reply: std::result::Result<T, tarpc::client::RpcError>,
+    ) -> Result<T> {
+        match reply {
+            Ok(value) => Ok(value),
+            Err(error) => {
+                self.forget(address).await;
+                Err(Error(error.to_string().into()))
+            }
+        }
+    }
+}
+
+fn context() -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + CALL_TIMEOUT;
+    context
+}
+
+/// Whether a message goes as MessagePack over HTTP.
+pub(crate) fn is_bulk(msg: &Msg) -> bool {
+    matches!(msg, Msg::Delta(_) | Msg::Handover { .. } | Msg::Pins(_))
+}
--- /dev/null
+++ b/burdocklever/src/pin.rs
@@ -0,0 +1,203 @@
+//! Flow pins: which target each flow goes to.
+//!
+//! Owners hold the pins of their flows, entry VMs those of the flows whose
+//! packets they passed on, and each owner's next-ranked member keeps its pins
+//! in case it ends. An entry is a 64-bit key, the index of the target's
+//! identity, and the second of the last packet with two flags.
+
+use std::collections::HashMap;
+
+use wire::HostId;
+
+use crate::msg::FlowKey;
+use crate::time::{Ms, Time};
+
+/// Silence after which a flow counts as ended.
+pub const IDLE: Ms = Ms(120_000);
+/// Age at which an entry VM's pin is confirmed by the owner with the next packet.
+pub const REFRESH: Ms = Ms(20_000);
+/// Age at which a pin kept for its owner is dropped, if not refreshed.
+pub(crate) const KEEP: Ms = Ms(3_600_000);
+
+/// Index of a target's identity. Never reused within one life of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HostIx(u32);
+
+/// Flag of a pin whose flow this VM owns.
+const OWN: u32 = 1;
+/// Flag of a pin that this VM keeps for the owner.
+const KEPT: u32 = 2;
+const FLAG_BITS: u32 = 2;
+
+#[derive(Debug, Clone, Copy)]
+struct Pin {
+    host: HostIx,
+    stamp: u32,
+}
+
+impl Pin {
+    fn new(host: HostIx, now: Time, flags: u32) -> Pin {
+        Pin {
+            host,
+            stamp: ((now.0 / 1000) as u32) << FLAG_BITS | flags,
+        }
+    }
+
+    fn flags(self) -> u32 {
+        self.stamp & (OWN | KEPT)
+    }
+
+    fn own(self) -> bool {
+        self.stamp & OWN != 0
+    }
+
+    fn age(self, now: Time) -> Ms {
+        now.since(Time(u64::from(self.stamp >> FLAG_BITS) * 1000))
+    }
+
+    fn is_fresh(self, now: Time) -> bool {
+        let limit = if self.flags() == KEPT { KEEP } else { IDLE };
+        self.age(now) < limit
+    }
+}
+
+/// A pin as read from the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pinned {
+    /// The flow's target.
+    pub host: HostId,
+    /// This VM owns the flow.
+    pub own: bool,
+    /// Time since this VM last stored or confirmed the pin.
+    pub age: Ms,
+}
+
+/// Pins by flow, with the number of own flows at each target.
+#[derive(Debug, Default)]
+pub struct Pins {
+    map: HashMap<FlowKey, Pin>,
+    hosts: Vec<HostId>,
+    counts: Vec<u32>,
+    index: HashMap<HostId, HostIx>,
+}
+
+impl Pins {
+    /// Number of pins.
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    /// Whether there is no pin.
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    /// The pin of a flow.
+    pub fn get(&self, now: Time, key: FlowKey) -> Option<Pinned> {
+        let pin = self.map.get(&key)?;
+        Some(Pinned {
+            host: self.hosts[pin.host.0 as usize],
+            own: pin.own(),
+            age: pin.age(now),
+        })
+    }
+
+    /// Stores an owner's pin, or an entry VM's.
+    pub fn set(&mut self, now: Time, key: FlowKey, host: HostId, own: bool) {
+        let kept = self.map.get(&key).map_or(0, |p| p.flags() & KEPT);
+        let flags = if own { OWN } else { kept };
+        self.put(now, key, host, flags);
+    }
+
+    /// Stores a pin for its owner's sake.
+    pub fn keep(&mut self, now: Time, key: FlowKey, host: HostId) {
+        self.put(now, key, host, KEPT);
+    }
+
+    /// Stops keeping a pin. It goes once idle.
+    pub fn release(&mut self, now: Time, key: FlowKey) {
+        if let Some(pin) = self.map.get_mut(&key) {
+            *pin = Pin::new(pin.host, now, pin.flags() & OWN);
+        }
+    }
+
+    /// Notes a packet of a flow that this VM owns.
+    pub fn touch(&mut self, now: Time, key: FlowKey) {
+        if let Some(pin) = self.map.get_mut(&key) {
+            *pin = Pin::new(pin.host, now, pin.flags());
+        }
+    }
+
+    /// Removes a pin. Returns whether there was one.
+    pub fn remove(&mut self, key: FlowKey) -> bool {
+        let old = self.map.remove(&key);
+        self.uncount(old);
+        old.is_some()
+    }
+
+    /// Removes pins that are idle or whose target fails `serves`. Returns how many.
+    pub fn sweep(&mut self, now: Time, serves: impl Fn(HostId) -> bool) -> usize {
+        let ok: Vec<bool> = self.hosts.iter().map(|h| serves(*h)).collect();
+        let before = self.map.len();
+        let counts = &mut self.counts;
+        self.map.retain(|_, pin| {
+            let ix = pin.host.0 as usize;
+            let keep = ok[ix] && pin.is_fresh(now);
+            if !keep && pin.own() {
+                counts[ix] -= 1;
+            }
+            keep
+        });
+        before - self.map.len()
+    }
+
+    /// Makes this VM the owner of kept pins that `owns` says it owns now.
+    /// Returns the flows taken on, in ascending order.
+    pub fn promote(&mut self, now: Time, owns: impl Fn(FlowKey) -> bool) -> Vec<FlowKey> {
+        let kept = self.map.iter().filter(|(_, pin)| pin.flags() == KEPT);
+        let mut keys: Vec<FlowKey> = kept.map(|(key, _)| *key).filter(|key| owns(*key)).collect();
+        keys.sort();
+        for key in &keys {
+            let pin = self.map[key];
+            self.put(now, *key, self.hosts[pin.host.0 as usize], OWN);
+        }
+        keys
+    }
+
+    /// Flows that this VM owns, in ascending order.
+    pub fn own_keys(&self) -> Vec<FlowKey> {
+        let own = self.map.iter().filter(|(_, pin)| pin.own());
+        let mut keys: Vec<FlowKey> = own.map(|(key, _)| *key).collect();
+        keys.sort();
+        keys
+    }
+
+    /// Own flows at a target.
+    pub fn count(&self, host: HostId) -> u32 {
+        let ix = self.index.get(&host);
+        ix.map_or(0, |ix| self.counts[ix.0 as usize])
+    }
+
+    fn put(&mut self, now: Time, key: FlowKey, host: HostId, flags: u32) {
+        let ix = self.host_ix(host);
+        if flags & OWN != 0 {
+            self.counts[ix.0 as usize] += 1;
+        }
+        let old = self.map.insert(key, Pin::new(ix, now, flags));
+        self.uncount(old);
+    }
+
+    fn host_ix(&mut self, host: HostId) -> HostIx {
+        *self.index.entry(host).or_insert_with(|| {
+            self.hosts.push(host);
+            self.counts.push(0);
+            HostIx(self.hosts.len() as u32 - 1)
+        })
+    }
+
+    fn uncount(&mut self, old: Option<Pin>) {
+        if let Some(pin) = old.filter(|p| p.own()) {
+            self.counts[pin.host.0 as usize] -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/burdocklever/src/settings.rs
@@ -0,0 +1,146 @@
+//! Settings of an entry VM, read from an INI file and checked as a whole.
+
+use std::path::Path;
+
+use log::LevelFilter;
+use wire::{Address, DomainId, VmId};
+
+use crate::code::Code;
+use crate::source::{KeyRule, Result, Source};
+use crate::time::Ms;
+
+/// Settings of an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Identity of the VM.
+    pub vm: VmId,
+    /// Failure domain that it runs in.
+    pub domain: DomainId,
+    /// Where the fabric sends datagrams.
+    pub datagram: Address,
+    /// Where callers, peers and operators send HTTP requests.
+    pub http: Address,
+    /// Where peers send remote calls.
+    pub peer: Address,
+    /// Base address of the platform's object API.
+    pub platform: Address,
+    /// Platform calls that this VM makes a second at most.
+    pub calls: u32,
+    /// Time that a stop may take before requests in progress are cut.
+    pub stop: Ms,
+    /// Least severe log level.
+    pub level: LevelFilter,
+    /// Log file; standard error if none.
+    pub log: Option<Box<str>>,
+    /// File that spans are appended to; none if not traced.
+    pub trace: Option<Box<str>>,
+}
+
+/// Largest number of platform calls a second that one VM may be allowed.
+const CALLS_MAX: u32 = 200;
+const CALLS_DEFAULT: u32 = 10;
+const STOP_DEFAULT: Ms = Ms(30_000);
+
+const RULES: &[KeyRule] = &[
+    rule("vm", "id", true),
+    rule("vm", "domain", true),
+    rule("listen", "datagram", true),
+    rule("listen", "http", true),
+    rule("listen", "peer", true),
+    rule("platform", "address", true),
+    rule("platform", "calls-per-second", false),
+    rule("stop", "timeout", false),
+    rule("log", "level", false),
+    rule("log", "file", false),
+    rule("trace", "file", false),
+];
+
+const fn rule(section: &'static str, key: &'static str, required: bool) -> KeyRule {
+    KeyRule {
+        section,
+        key,
+        required,
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreadable`] if the file cannot be read or is no INI file,
+    /// [`Code::BadSettings`] with every wrong, missing, unknown or
+    /// contradictory key otherwise.
+    pub fn open(path: &Path) -> Result<Settings> {
+        read(Source::open(path)?)
+    }
+
+    /// Checks settings given as text; `name` is used in messages.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::open`].
+    pub fn parse(name: &str, text: &str) -> Result<Settings> {
+        read(Source::parse(name, text)?)
+    }
+}
+
+fn read(mut source: Source) -> Result<Settings> {
+    source.check_names(RULES);
+    source.check_sections(RULES);
+    let settings = values(&mut source);
+    source.finish(Code::BadSettings, settings)
+}
+
+fn values(source: &mut Source) -> Option<Settings> {
+    let vm = source.value("vm", "id", "a VM number");
+    let domain = source.value("vm", "domain", "a name of a-z, 0-9 and -");
+    let datagram = source.address("listen", "datagram");
+    let http = source.address("listen", "http");
+    let peer = source.address("listen", "peer");
+    let platform = source.address("platform", "address");
+    let calls = source.value("platform", "calls-per-second", "a number");
+    let stop = source.value("stop", "timeout", "a time such as 30s");
+    let level = source.value("log", "level", "off, error, warn, info, debug or trace");
+    check_calls(source, calls);
+    check_clashes(source, http, peer, platform);
+    Some(Settings {
+        vm: vm?,
+        domain: domain?,
+        datagram: datagram?,
+        http: http?,
+        peer: peer?,
+        platform: platform?,
+        calls: calls.unwrap_or(CALLS_DEFAULT),
+        stop: stop.unwrap_or(STOP_DEFAULT),
+        level: level.unwrap_or(LevelFilter::Info),
+        log: source.text("log", "file"),
+        trace: source.text("trace", "file"),
+    })
+}
+
+fn check_calls(source: &mut Source, calls: Option<u32>) {
+    let Some(calls) = calls.filter(|n| *n == 0 || *n > CALLS_MAX) else {
+        return;
+    };
+    let text = format!("expected 1 to {CALLS_MAX}, found `{calls}`");
+    source.fault("platform", "calls-per-second", &text);
+}
+
+/// Finds addresses that are used for two things over TCP.
+fn check_clashes(
+    source: &mut Source,
+    http: Option<Address>,
+    peer: Option<Address>,
+    platform: Option<Address>,
+) {
+    if http.is_some() && http == peer {
+        source.fault("listen", "peer", "same address as `http`");
+    }
+    if http.is_some() && http == platform {
+        source.fault("listen", "http", "same address as the platform's");
+    }
+    if peer.is_some() && peer == platform {
+        source.fault("listen", "peer", "same address as the platform's");
+    }
+}
--- /dev/null
+++ b/burdocklever/src/source.rs
@@ -0,0 +1,278 @@
+//! INI files with the places of their keys, so that every fault can be shown.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::str::FromStr;
+
+use ini::Ini;
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
+use wire::Address;
+
+use crate::code::Code;
+
+/// Result of reading an INI file.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// A file that cannot be used, with every fault found.
+#[derive(Debug, thiserror::Error)]
+#[error("{code} {}: {detail}", code.text())]
+pub struct Error {
+    /// Result code.
+    pub code: Code,
+    /// What is wrong, in one line.
+    pub detail: Box<str>,
+    text: Box<NamedSource<String>>,
+    faults: Vec<Fault>,
+}
+
+/// One fault and its place.
+#[derive(Debug, Clone)]
+struct Fault {
+    text: Box<str>,
+    span: SourceSpan,
+}
+
+impl Diagnostic for Error {
+    fn code<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+
+    fn source_code(&self) -> Option<&dyn miette::SourceCode> {
+        Some(&*self.text)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let label = |f: &Fault| LabeledSpan::new_with_span(Some(f.text.to_string()), f.span);
+        Some(Box::new(self.faults.iter().map(label)))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
+        Some(Box::new("docs/OPERATIONS.md lists all keys"))
+    }
+}
+
+impl Error {
+    /// Each fault with the line that it stands in, counted from 1.
+    pub fn faults(&self) -> impl Iterator<Item = (usize, &str)> {
+        let text = self.text.inner();
+        self.faults.iter().map(move |fault| {
+            let before = &text[..fault.span.offset().min(text.len())];
+            (before.matches('\n').count() + 1, &*fault.text)
+        })
+    }
+}
+
+/// A known key of a section.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KeyRule {
+    /// Section, or the word that section names start with.
+    pub(crate) section: &'static str,
+    /// Key.
+    pub(crate) key: &'static str,
+    /// Whether it must be given.
+    pub(crate) required: bool,
+}
+
+/// An INI file whose values are read one by one while faults are collected.
+#[derive(Debug)]
+pub(crate) struct Source {
+    name: Box<str>,
+    text: Box<str>,
+    ini: Ini,
+    keys: BTreeMap<(Box<str>, Box<str>), SourceSpan>,
+    sections: BTreeMap<Box<str>, SourceSpan>,
+    faults: Vec<Fault>,
+}
+
+impl Source {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreadable`] if it cannot be read or is no INI file.
+    pub(crate) fn open(path: &Path) -> Result<Source> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| Error {
+            code: Code::Unreadable,
+            detail: format!("{name}: {e}").into(),
+            text: Box::new(NamedSource::new(&name, String::new())),
+            faults: Vec::new(),
+        })?;
+        Source::parse(&name, &text)
+    }
+
+    /// Takes a file's text; `name` is used in messages.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreadable`] if it is no INI file.
+    pub(crate) fn parse(name: &str, text: &str) -> Result<Source> {
+        let ini = Ini::load_from_str(text).map_err(|e| Error {
+            code: Code::Unreadable,
+            detail: format!("{name}: {}", e.msg).into(),
+            text: Box::new(NamedSource::new(name, text.to_string())),
+            faults: vec![Fault {
+                text: e.msg.as_ref().into(),
+                span: (line_start(text, e.line), 0).into(),
+            }],
+        })?;
+        let mut source = Source {
+            name: name.into(),
+            text: text.into(),
+            ini,
+            keys: BTreeMap::new(),
+            sections: BTreeMap::new(),
+            faults: Vec::new(),
+        };
+        source.locate();
+        Ok(source)
+    }
+
+    /// Notes where sections and keys stand, and those that are given twice.
+    fn locate(&mut self) {
+        let text = self.text.clone();
+        let mut section: Box<str> = "".into();
+        let mut offset = 0;
+        for line in text.split_inclusive('\n') {
+            let body = line.trim();
+            let indent = line.len() - line.trim_start().len();
+            let span = SourceSpan::from((offset + indent, body.len()));
+            offset += line.len();
+            let header = body.strip_prefix('[').and_then(|b| b.strip_suffix(']'));
+            if let Some(name) = header {
+                section = name.trim().into();
+                if self.sections.insert(section.clone(), span).is_some() {
+                    self.fault_at("section is given twice", span);
+                }
+            } else if let Some((key, _)) = body.split_once('=') {
+                if body.starts_with([';', '#']) {
+                    continue;
+                }
+                let place = (section.clone(), key.trim().into());
+                if self.keys.insert(place, span).is_some() {
+                    self.fault_at("key is given twice", span);
+                }
+            }
+        }
+    }
+
+    /// Finds unknown sections and keys, and required keys that are missing.
+    pub(crate) fn check_names(&mut self, rules: &[KeyRule]) {
+        let belongs = |section: &str, rule: &KeyRule| {
+            section == rule.section || section.split(' ').next() == Some(rule.section)
+        };
+        for (section, span) in self.sections.clone() {
+            if !rules.iter().any(|r| belongs(&section, r)) {
+                let mut known: Vec<&str> = rules.iter().map(|r| r.section).collect();
+                known.dedup();
+                let text = format!("unknown section; expected one of {}", known.join(", "));
+                self.fault_at(&text, span);
+                continue;
+            }
+            for rule in rules.iter().filter(|r| r.required && belongs(&section, r)) {
+                if self.ini.get_from(Some(&*section), rule.key).is_none() {
+                    self.fault_at(&format!("missing: `{}`", rule.key), span);
+                }
+            }
+        }
+        for ((section, key), span) in self.keys.clone() {
+            let known = rules.iter().any(|r| belongs(&section, r) && *r.key == *key);
+            if !known && (section.is_empty() || self.known_section(&section, rules)) {
+                self.fault_at("unknown key", span);
+            }
+        }
+    }
+
+    fn known_section(&self, section: &str, rules: &[KeyRule]) -> bool {
+        let word = section.split(' ').next();
+        rules.iter().any(|r| Some(r.section) == word)
+    }
+
+    /// Finds sections that must be there and are not.
+    pub(crate) fn check_sections(&mut self, rules: &[KeyRule]) {
+        for rule in rules.iter().filter(|r| r.required) {
+            if !self.sections.contains_key(rule.section) {
+                let text = format!("missing: `{}` in [{}]", rule.key, rule.section);
+                self.fault_at(&text, (0, 0).into());
+            }
+        }
+    }
+
+    /// Names of the sections, in order.
+    pub(crate) fn sections(&self) -> Vec<Box<str>> {
+        self.sections.keys().cloned().collect()
+    }
+
+    fn fault_at(&mut self, text: &str, span: SourceSpan) {
+        self.faults.push(Fault {
+            text: text.into(),
+            span,
+        });
+    }
+
+    /// Notes a fault at a key, or at its section if the key is not given.
+    pub(crate) fn fault(&mut self, section: &str, key: &str, text: &str) {
+        let place = (Box::from(section), Box::from(key));
+        let span = self.keys.get(&place).or(self.sections.get(section));
+        let span = span.copied().unwrap_or((0, 0).into());
+        self.fault_at(text, span);
+    }
+
+    /// A key's text.
+    pub(crate) fn text(&self, section: &str, key: &str) -> Option<Box<str>> {
+        self.ini.get_from(Some(section), key).map(Into::into)
+    }
+
+    /// A key's value, if given and right.
+    pub(crate) fn value<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &str,
+    ) -> Option<T> {
+        let text = self.text(section, key)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(
+                section,
+                key,
+                &format!("expected {expected}, found `{text}`"),
+            );
+        }
+        value
+    }
+
+    /// An address that others can reach.
+    pub(crate) fn address(&mut self, section: &str, key: &str) -> Option<Address> {
+        let address: Address = self.value(section, key, "an IP address and port")?;
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let text = format!("expected an address that others can reach, found `{address}`");
+            self.fault(section, key, &text);
+        }
+        Some(address)
+    }
+
+    /// Gives `value` if no fault was found.
+    ///
+    /// # Errors
+    ///
+    /// `code` with all faults otherwise.
+    pub(crate) fn finish<T>(self, code: Code, value: Option<T>) -> Result<T> {
+        if let (true, Some(value)) = (self.faults.is_empty(), value) {
+            return Ok(value);
+        }
+        let count = self.faults.len();
+        let noun = if count == 1 { "fault" } else { "faults" };
+        Err(Error {
+            code,
+            detail: format!("{}: {count} {noun}", self.name).into(),
+            text: Box::new(NamedSource::new(&*self.name, self.text.into())),
+            faults: self.faults,
+        })
+    }
+}
+
+fn line_start(text: &str, line: usize) -> usize {
+    let lines = text.split_inclusive('\n').take(line);
+    lines.map(str::len).sum::<usize>().min(text.len())
+}
--- /dev/null
+++ b/burdocklever/src/status.rs
@@ -0,0 +1,53 @@
+//! Status of an entry VM, as operators read it.
+
+use serde::{Deserialize, Serialize};
+use wire::{DomainId, Member, Version, View};
+
+use crate::msg::Load;
+use crate::node::{Counts, Node};
+
+/// What one entry VM tells of itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    /// Identity and incarnation.
+    pub member: Member,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Whether it takes traffic.
+    pub ready: bool,
+    /// Revision up to which its catalogue is complete.
+    pub version: Version,
+    /// Its cell's view.
+    pub view: View,
+    /// Whether it holds a lease under the view.
+    pub lease: bool,
+    /// Flow pins held.
+    pub pins: usize,
+    /// Claims held.
+    pub claims: usize,
+    /// Targets that it is steward of.
+    pub targets: Vec<Load>,
+    /// Counters since its start.
+    pub counts: Counts,
+    /// Bytes of control messages sent since its start.
+    pub control: u64,
+}
+
+impl Status {
+    /// Status of a node that has sent `control` bytes of control messages.
+    pub(crate) fn of(node: &Node, control: u64) -> Status {
+        Status {
+            member: node.member(),
+            domain: node.domain().clone(),
+            ready: node.is_ready(),
+            version: node.catalogue().through(),
+            view: node.view().clone(),
+            lease: node.holds_lease(),
+            pins: node.pins(),
+            claims: node.claims(),
+            targets: node.loads(),
+            counts: node.counts(),
+            control,
+        }
+    }
+}
--- /dev/null
+++ b/burdocklever/src/time.rs
@@ -0,0 +1,78 @@
+//! Time as the decisions see it: milliseconds on the VM's monotonic clock.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use wire::IdError;
+
+/// A span of time in milliseconds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Ms(pub u64);
+
+/// A point on one VM's monotonic clock. Points of two VMs do not compare.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Time that has passed since `earlier`; zero if it lies ahead.
+    pub fn since(self, earlier: Time) -> Ms {
+        Ms(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Ms> for Time {
+    type Output = Time;
+
+    fn add(self, span: Ms) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Add for Ms {
+    type Output = Ms;
+
+    fn add(self, other: Ms) -> Ms {
+        Ms(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Ms {
+    type Output = Ms;
+
+    fn sub(self, other: Ms) -> Ms {
+        Ms(self.0.saturating_sub(other.0))
+    }
+}
+
+impl fmt::Display for Ms {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for Ms {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Ms, IdError> {
+        let fail = || IdError {
+            expected: "a time such as 250ms or 4s",
+            found: s.into(),
+        };
+        if let Some(n) = s.strip_suffix("ms") {
+            return n.parse().map(Ms).map_err(|_| fail());
+        }
+        let n: u64 = s
+            .strip_suffix('s')
+            .and_then(|n| n.parse().ok())
+            .ok_or_else(fail)?;
+        n.checked_mul(1000).map(Ms).ok_or_else(fail)
+    }
+}
--- /dev/null
+++ b/fuzz/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/wire/src/id.rs
@@ -0,0 +1,130 @@
+//! Identifiers and versions.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// Text that is not the identifier it was parsed as.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("expected {expected}, found `{found}`")]
+pub struct IdError {
+    /// What a valid text looks like.
+    pub expected: &'static str,
+    /// The text that was given.
+    pub found: Box<str>,
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $int:ty, $expected:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $int);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(s: &str) -> Result<Self, IdError> {
+                s.parse().map($name).map_err(|_| IdError { expected: $expected, found: s.into() })
+            }
+        }
+    };
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $expected:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "Box<str>", into = "Box<str>")]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(s: &str) -> Result<Self, IdError> {
+                if is_name(s) {
+                    Ok($name(s.into()))
+                } else {
+                    Err(IdError { expected: $expected, found: s.into() })
+                }
+            }
+        }
+
+        impl TryFrom<Box<str>> for $name {
+            type Error = IdError;
+
+            fn try_from(s: Box<str>) -> Result<Self, IdError> {
+                s.parse()
+            }
+        }
+
+        impl From<$name> for Box<str> {
+            fn from(id: $name) -> Box<str> {
+                id.0
+            }
+        }
+    };
+}
+
+/// Longest name in bytes.
+const NAME_MAX: usize = 63;
+
+fn is_name(s: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    !s.is_empty() && s.len() <= NAME_MAX && s.bytes().all(plain)
+}
+
+number_id!(
+    /// Identity of an entry VM, unique in the fleet.
+    VmId, u32, "a VM number"
+);
+number_id!(
+    /// Identity of a target. The platform never gives it to another target.
+    HostId, u64, "a target number"
+);
+number_id!(
+    /// Distinguishes the lives of one process: each start takes a higher one.
+    Incarnation, u64, "an incarnation number"
+);
+number_id!(
+    /// Version of a platform object: the platform's revision at its last write.
+    Version, u64, "a version number"
+);
+number_id!(
+    /// Number of a cell's view; each written view takes the next one.
+    Number, u64, "a view number"
+);
+name_id!(
+    /// Name of a failure domain.
+    DomainId, "a failure domain's name of a-z, 0-9 and -, at most 63 bytes"
+);
+name_id!(
+    /// Name of a service.
+    ServiceId, "a service's name of a-z, 0-9 and -, at most 63 bytes"
+);
+
+/// IP address and port.
+pub type Address = SocketAddr;
