--- a/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- a/burdocklever/src/catalogue.rs
+++ b/burdocklever/src/catalogue.rs
@@ -33,6 +33,8 @@
     addresses: HashMap<Address, ServiceId>,
     hosts: BTreeMap<HostId, Host>,
     by_service: BTreeMap<ServiceId, BTreeSet<HostId>>,
+    by_domain: BTreeMap<DomainId, BTreeSet<HostId>>,
+    vms_by_domain: BTreeMap<DomainId, BTreeSet<VmId>>,
     out: BTreeSet<DomainId>,
     vms: BTreeMap<VmId, Vm>,
     views: BTreeMap<DomainId, View>,
@@ -95,9 +97,15 @@
                 if let Some(list) = self.by_service.get_mut(&h.service) {
                     list.remove(&h.id);
                 }
+                if let Some(list) = self.by_domain.get_mut(&h.domain) {
+                    list.remove(&h.id);
+                }
             }
             Body::Vm(v) => {
                 self.vms.remove(&v.member.vm);
+                if let Some(list) = self.vms_by_domain.get_mut(&v.domain) {
+                    list.remove(&v.member.vm);
+                }
             }
             Body::View(_) => self.views.retain(|id, _| id.as_str() != &*key.name),
             Body::Removed => {}
@@ -118,6 +126,8 @@
                 }
             }
             Body::Host(h) => {
+                let near = self.by_domain.entry(h.domain.clone());
+                near.or_default().insert(h.id);
                 self.hosts.insert(h.id, h.clone());
                 self.by_service
                     .entry(h.service.clone())
@@ -125,6 +135,8 @@
                     .insert(h.id);
             }
             Body::Vm(v) => {
+                let near = self.vms_by_domain.entry(v.domain.clone());
+                near.or_default().insert(v.member.vm);
                 self.vms.insert(v.member.vm, v.clone());
             }
             Body::View(v) => {
@@ -189,6 +201,18 @@
         self.hosts.values()
     }
 
+    /// Targets of a failure domain.
+    pub fn hosts_in(&self, domain: &DomainId) -> impl Iterator<Item = &Host> {
+        let ids = self.by_domain.get(domain).into_iter().flatten();
+        ids.filter_map(|id| self.hosts.get(id))
+    }
+
+    /// Entry VMs of a failure domain.
+    pub fn vms_in(&self, domain: &DomainId) -> impl Iterator<Item = &Vm> {
+        let ids = self.vms_by_domain.get(domain).into_iter().flatten();
+        ids.filter_map(|id| self.vms.get(id))
+    }
+
     /// Whether a target may get packets of flows that it already serves.
     pub fn serves(&self, host: &Host) -> bool {
         host.state != State::Gone && !self.out.contains(&host.domain)
--- a/burdocklever/src/driver.rs
+++ b/burdocklever/src/driver.rs
@@ -161,7 +161,8 @@
             Action::Forward(id, to, hop, request) => self.forward(id, to, hop, request),
             Action::Dispatch(id, host, address, budget) => self.dispatch(id, host, address, budget),
             Action::Cancel(id) => {
-                if let Some(token) = self.lock().running.get(&id) {
+                let token = self.lock().running.get(&id).cloned();
+                if let Some(token) = token {
                     token.cancel();
                 }
             }
@@ -338,14 +339,15 @@
     }
 
     fn reply(&self, id: ReqId, end: End) {
-        if let Some(waiter) = self.lock().waiters.remove(&id) {
-            let _ = waiter.reply.send(Response::from_end(end));
-        }
+        self.reply_early(id, Response::from_end(end));
     }
 
     /// Gives the caller an answer that is still coming in.
     pub(crate) fn reply_early(&self, id: ReqId, response: Response) {
-        if let Some(waiter) = self.lock().waiters.remove(&id) {
+        let waiter = self.lock().waiters.remove(&id);
+        // A response that nobody waits for is dropped here and feeds its end,
+        // so the lock must be free.
+        if let Some(waiter) = waiter {
             let _ = waiter.reply.send(response);
         }
     }
--- a/burdocklever/src/flow.rs
+++ b/burdocklever/src/flow.rs
@@ -607,17 +607,20 @@
         }
     }
 
-    /// Numbers of own flows at the targets that `to` guards.
-    pub(crate) fn pin_counts(&self, to: Member) -> Vec<Count> {
-        let guarded = self
-            .catalogue
-            .all_hosts()
-            .filter(|h| h.domain == self.domain && self.steward_of(h) == Some(to));
-        let counts = guarded.map(|h| Count {
-            host: h.id,
-            count: self.pins.count(h.id),
-        });
-        counts.filter(|c| c.count > 0).collect()
+    /// Numbers of own flows at the targets of this failure domain, by steward.
+    pub(crate) fn pin_counts(&self) -> BTreeMap<Member, Vec<Count>> {
+        let mut counts: BTreeMap<Member, Vec<Count>> = BTreeMap::new();
+        for (host, count) in self.pins.counts() {
+            let near = self.catalogue.host(host);
+            let near = near.filter(|h| h.domain == self.domain);
+            if let Some(steward) = near.and_then(|h| self.steward_of(h)) {
+                counts
+                    .entry(steward)
+                    .or_default()
+                    .push(Count { host, count });
+            }
+        }
+        counts
     }
 
     /// Takes in an owner's numbers of flows at the targets guarded here.
@@ -749,10 +752,7 @@
     /// Takes over the targets that the view makes this VM steward of.
     pub(crate) fn take_targets(&mut self) {
         let number = self.cell.view().number;
-        let near = self
-            .catalogue
-            .all_hosts()
-            .filter(|h| h.domain == self.domain);
+        let near = self.catalogue.hosts_in(&self.domain);
         let mine: Vec<wire::Host> = near
             .filter(|h| self.catalogue.serves(h) && self.steward_of(h) == Some(self.me))
             .cloned()
--- a/burdocklever/src/logs.rs
+++ b/burdocklever/src/logs.rs
@@ -9,16 +9,10 @@
 
 /// Time, level, part and sentence.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l} {t}: {m}{n}";
-/// Level of the libraries underneath.
-const LIBRARIES: &[&str] = &[
-    "tarpc",
-    "hyper",
-    "hyper_util",
-    "reqwest",
-    "axum",
-    "opentelemetry",
-    "tracing",
-];
+/// Libraries underneath that are quieter than the rest.
+const LIBRARIES: &[&str] = &["hyper", "hyper_util", "reqwest", "axum", "opentelemetry"];
+/// Libraries whose errors this system reports itself.
+const SILENT: &[&str] = &["tarpc", "tracing"];
 
 /// Sets up logging to a file, or to standard error.
 ///
@@ -40,6 +34,10 @@
         let logger = log4rs::config::Logger::builder().build(*library, quiet);
         config = config.logger(logger);
     }
+    for library in SILENT {
+        let logger = log4rs::config::Logger::builder().build(*library, LevelFilter::Off);
+        config = config.logger(logger);
+    }
     let config = config
         .build(Root::builder().appender("main").build(level))
         .map_err(std::io::Error::other)?;
--- a/burdocklever/src/msg.rs
+++ b/burdocklever/src/msg.rs
@@ -1,5 +1,7 @@
 //! Messages between entry VMs.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wire::{HostId, Member, Number, ServiceId, Version};
 
@@ -31,9 +33,9 @@
     /// The sender is about to stop.
     pub leaving: bool,
     /// Load of the targets that the sender is steward of.
-    pub loads: Vec<Load>,
+    pub loads: Arc<[Load]>,
     /// Requests in progress at targets that the sender is not steward of.
-    pub busy: Vec<Count>,
+    pub busy: Arc<[Count]>,
     /// Flows that the sender owns at targets that the receiver is steward of.
     pub pins: Vec<Count>,
 }
--- a/burdocklever/src/node.rs
+++ b/burdocklever/src/node.rs
@@ -4,6 +4,7 @@
 //! actions that follow. The same events give the same actions.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use wire::{Address, DomainId, HostId, Member, Object, ObjectKey, ServiceId, State, Version, View};
 
@@ -13,7 +14,7 @@
 use crate::code::Code;
 use crate::flow::Flows;
 use crate::key::Key;
-use crate::msg::{FlowKey, Heartbeat, Msg};
+use crate::msg::{Count, FlowKey, Heartbeat, Load, Msg};
 use crate::pin::{Pins, IDLE};
 use crate::rank;
 use crate::request::Jobs;
@@ -321,7 +322,7 @@
     }
 
     /// Loads of the targets that this VM is steward of.
-    pub fn loads(&self) -> Vec<crate::msg::Load> {
+    pub fn loads(&self) -> Vec<Load> {
         self.stewards.loads(|host| self.elsewhere(host))
     }
 
@@ -361,16 +362,17 @@
 
     /// VMs of this failure domain, without this one.
     pub(crate) fn neighbours(&self) -> Vec<Member> {
-        let near = self
-            .catalogue
-            .vms()
-            .filter(|v| v.domain == self.domain && v.state != State::Gone);
-        near.map(|v| v.member)
+        let near = self.catalogue.vms_in(&self.domain);
+        near.filter(|v| v.state != State::Gone)
+            .map(|v| v.member)
             .filter(|m| m.vm != self.me.vm)
             .collect()
     }
 
     fn beat(&mut self) {
+        let loads: Arc<[Load]> = self.loads().into();
+        let busy: Arc<[Count]> = self.stewards.foreign().into();
+        let mut counts = self.pin_counts();
         for to in self.neighbours() {
             let beat = Heartbeat {
                 at: self.now,
@@ -379,9 +381,9 @@
                 lapse: self.cell.lapse(self.now),
                 through: self.catalogue.through(),
                 leaving: self.leaving,
-                loads: self.loads(),
-                busy: self.stewards.foreign(),
-                pins: self.pin_counts(to),
+                loads: loads.clone(),
+                busy: busy.clone(),
+                pins: counts.remove(&to).unwrap_or_default(),
             };
             self.send(to, Msg::Heartbeat(Box::new(beat)));
         }
--- a/burdocklever/src/pin.rs
+++ b/burdocklever/src/pin.rs
@@ -101,6 +101,13 @@
         self.map.is_empty()
     }
 
+    /// Bytes that the table takes: each slot holds a key, a pin and a byte of
+    /// control, and one slot in eight stays free.
+    pub fn bytes(&self) -> usize {
+        let slots = (self.map.capacity() * 8 / 7).next_power_of_two();
+        slots * (size_of::<(FlowKey, Pin)>() + 1)
+    }
+
     /// The pin of a flow.
     pub fn get(&self, now: Time, key: FlowKey) -> Option<Pinned> {
         let pin = self.map.get(&key)?;
@@ -204,6 +211,12 @@
         keys
     }
 
+    /// Targets that this VM's own flows go to, with the number of flows.
+    pub(crate) fn counts(&self) -> impl Iterator<Item = (HostId, u32)> + '_ {
+        let all = self.hosts.iter().copied().zip(self.counts.iter().copied());
+        all.filter(|(_, count)| *count > 0)
+    }
+
     /// Own flows at a target.
     pub fn count(&self, host: HostId) -> u32 {
         let ix = self.index.get(&host);
--- a/fuzz/src/world.rs
+++ b/fuzz/src/world.rs
@@ -1199,7 +1199,7 @@
                     break;
                 }
             }
-            let served = self.oracle.tally.answered > before || !free(&self, service);
+            let served = self.oracle.tally.answered > before || !free(self, service);
             let now = self.now;
             self.oracle.must(served, now, || {
                 format!("availability: {name}, no {what} served")
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -25,6 +25,8 @@
 const REQUEST_LIFE: Duration = Duration::from_secs(12);
 /// Time that a caller waits for one answer.
 const REQUEST_WAIT: Duration = Duration::from_secs(6);
+/// Time after which a download counts as broken off.
+const DOWNLOAD_WAIT: Duration = Duration::from_secs(15);
 /// Longest pause that a caller keeps, whatever it is told.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
@@ -367,7 +369,10 @@
     tokio::time::sleep(Duration::from_millis(u64::from(n) * 300)).await;
     while Instant::now() < end {
         let url = format!("http://{}/download", at.address);
-        let request = http.get(url).header(header::SERVICE, at.service.as_str());
+        let request = http
+            .get(url)
+            .timeout(DOWNLOAD_WAIT)
+            .header(header::SERVICE, at.service.as_str());
         let reply = match request.send().await {
             Ok(reply) if reply.status().is_success() => reply,
             _ => {
