Let cells share new flows by load, so that no failure domain runs ahead

The hash that spreads flows over cells leaves a spread of some percent; within a cell, two choices by old loads add to it. Ruled out: the weights (4, 4, 3, 3 as the hosts).

--- a/burdocklever/src/flow.rs
+++ b/burdocklever/src/flow.rs
@@ -10,7 +10,7 @@
 
 use crate::cell::{HEARTBEAT, LEASE};
 use crate::code::Code;
-use crate::msg::{Count, FlowKey, FlowPin, Msg, PinBatch};
+use crate::msg::{Count, FlowKey, FlowPin, Load, Msg, PinBatch};
 use crate::node::{Action, Mark, Node, Packet, PacketId};
 use crate::pin::{IDLE, REFRESH};
 use crate::rank;
@@ -24,6 +24,12 @@
 const FAR_OWNERS: usize = 2;
 /// Longest wait for a higher-ranked VM's decision on the same flow.
 const DECIDE_WAIT: Ms = Ms(800);
+/// Age up to which another cell's loads are believed.
+const FAR_FRESH: Ms = Ms(5000);
+/// A target of another cell is taken if it has fewer flows by one in this many,
+/// and by a few more.
+const FAR_MARGIN: u32 = 100;
+const FAR_MARGIN_MIN: u32 = 4;
 /// Stewards that are asked to admit one flow.
 const ADMIT_TRIES: usize = 4;
 /// Flows that may wait for a decision at once.
@@ -61,13 +67,23 @@
     deciders: BTreeSet<Member>,
 }
 
+/// Load of a target of another cell.
+#[derive(Debug, Clone, Copy)]
+struct FarLoad {
+    steward: Member,
+    load: Load,
+    at: Time,
+}
+
 /// Packets that await a decision here or at another VM.
 #[derive(Debug, Default)]
 pub(crate) struct Flows {
     pending: BTreeMap<FlowKey, Pending>,
     passed: BTreeMap<PacketId, (Packet, Option<HostId>)>,
-    /// Flows admitted since the steward's last heartbeat.
+    /// Flows admitted since the steward last told its loads.
     recent: BTreeMap<HostId, u32>,
+    /// Loads that stewards of other cells told last.
+    far: BTreeMap<HostId, FarLoad>,
     /// Until when the owner of a new flow may have changed since an earlier
     /// packet of it.
     unsure: Time,
@@ -463,10 +479,18 @@
         key: FlowKey,
         tried: &[Member],
     ) -> Option<(Member, HostId)> {
-        let near = self.rooms(service, tried);
-        let best = two_choices(key, near);
-        if best.is_some() {
-            return best;
+        let near = emptiest(key, self.rooms(service, tried));
+        let far = emptiest(key, self.far_rooms(service, key, tried));
+        let best = match (near, far) {
+            (Some(near), Some(far))
+                if far.conns + far.conns / FAR_MARGIN + FAR_MARGIN_MIN < near.conns =>
+            {
+                Some(far)
+            }
+            (near, far) => near.or(far),
+        };
+        if let Some(best) = best {
+            return Some((best.steward, best.host));
         }
         for domain in self.catalogue.cells_for(service, key.0) {
             if domain == self.domain {
@@ -501,9 +525,11 @@
                     && self.steward_of(h) == Some(steward)
             })
         };
+        // All owners see the same old loads, so each counts for all of them.
+        let owners = self.cell.view().members.len() as u32;
         all.filter(|(steward, load)| !tried.contains(steward) && fits(load.host, *steward))
             .filter_map(|(steward, load)| {
-                let recent = self.flows.recent.get(&load.host).copied().unwrap_or(0);
+                let recent = owners * self.flows.recent.get(&load.host).copied().unwrap_or(0);
                 let conns = load.conns + if steward == self.me { 0 } else { recent };
                 (conns < load.bears).then_some(Room {
                     steward,
@@ -514,6 +540,53 @@
             .collect()
     }
 
+    /// Targets with room in the cell that the key ranks second. All owners see
+    /// the same old loads, so each counts its own flows since for all of them.
+    fn far_rooms(&self, service: &ServiceId, key: FlowKey, tried: &[Member]) -> Vec<Room> {
+        let cells = self.catalogue.cells_for(service, key.0);
+        let Some(second) = cells.into_iter().find(|c| *c != self.domain) else {
+            return Vec::new();
+        };
+        let owners = self
+            .catalogue
+            .cells()
+            .map(|(_, view)| view.members.len() as u32);
+        let owners: u32 = owners.sum();
+        let fits = |id: &HostId, far: &FarLoad| {
+            let host = self.catalogue.host(*id);
+            host.is_some_and(|h| {
+                h.domain == second
+                    && h.service == *service
+                    && self.catalogue.takes_new(h)
+                    && self.steward_of(h) == Some(far.steward)
+            }) && !tried.contains(&far.steward)
+                && !self.is_suspect(far.steward)
+                && self.now.since(far.at) < FAR_FRESH
+        };
+        let fitting = self.flows.far.iter().filter(|(id, far)| fits(id, far));
+        let rooms = fitting.map(|(id, far)| Room {
+            steward: far.steward,
+            host: *id,
+            conns: far.load.conns + owners * self.flows.recent.get(id).copied().unwrap_or(0),
+        });
+        rooms
+            .filter(|r| r.conns < self.flows.far[&r.host].load.bears)
+            .collect()
+    }
+
+    /// Takes in the loads that a steward of another cell told.
+    pub(crate) fn told_far_loads(&mut self, from: Member, loads: &[Load]) {
+        for load in loads {
+            let far = FarLoad {
+                steward: from,
+                load: *load,
+                at: self.now,
+            };
+            self.flows.far.insert(load.host, far);
+            self.flows.recent.remove(&load.host);
+        }
+    }
+
     pub(crate) fn admit(&mut self, from: Member, key: FlowKey, service: &ServiceId, host: HostId) {
         let host = self.admit_here(from, key, service, host);
         self.send(from, Msg::Admitted { key, host });
@@ -784,9 +857,8 @@
     conns: u32,
 }
 
-/// The less loaded of the two targets that the key ranks first.
-fn two_choices(key: FlowKey, mut rooms: Vec<Room>) -> Option<(Member, HostId)> {
-    rooms.sort_by_key(|r| std::cmp::Reverse(rank::score(key.0, r.host.0)));
-    let best = rooms.iter().take(2).min_by_key(|r| r.conns)?;
-    Some((best.steward, best.host))
+/// The target with the fewest flows, and of several the key's first-ranked.
+fn emptiest(key: FlowKey, rooms: Vec<Room>) -> Option<Room> {
+    let rank = |r: &Room| std::cmp::Reverse(rank::score(key.0, r.host.0));
+    rooms.into_iter().min_by_key(|r| (r.conns, rank(r)))
 }
--- a/burdocklever/src/msg.rs
+++ b/burdocklever/src/msg.rs
@@ -87,10 +87,12 @@
 pub enum Msg {
     /// Liveness, lease grant and loads.
     Heartbeat(Box<Heartbeat>),
-    /// Tells a VM of another cell how much of the catalogue the sender knows.
+    /// Tells a VM of another cell what the sender knows.
     Hello {
         /// Revision up to which the sender's catalogue is complete.
         through: Version,
+        /// Load of the targets that the sender is steward of.
+        loads: Arc<[Load]>,
     },
     /// Asks for what lies above a revision.
     Pull {
--- a/burdocklever/src/node.rs
+++ b/burdocklever/src/node.rs
@@ -448,15 +448,17 @@
         let pick = |vms: &Vec<Member>| vms[(self.greeted % vms.len() as u64) as usize];
         let chosen: Vec<Member> = domains.values().map(pick).collect();
         let through = self.catalogue.through();
+        let loads: Arc<[Load]> = self.loads().into();
         for to in chosen {
-            self.send(to, Msg::Hello { through });
+            let loads = loads.clone();
+            self.send(to, Msg::Hello { through, loads });
         }
     }
 
     fn receive(&mut self, from: Member, msg: Msg) {
         match msg {
             Msg::Heartbeat(beat) => self.heard(from, *beat),
-            Msg::Hello { through } => self.greeted_by(from, through),
+            Msg::Hello { through, loads } => self.greeted_by(from, through, &loads),
             Msg::Pull { from: above } => {
                 if self.catalogue.through() > above {
                     let delta = self.catalogue.delta(above);
@@ -497,12 +499,20 @@
         self.told_pins(from, &counts, echo);
     }
 
-    fn greeted_by(&mut self, from: Member, through: Version) {
+    fn greeted_by(&mut self, from: Member, through: Version, loads: &[Load]) {
+        self.told_far_loads(from, loads);
         let mine = self.catalogue.through();
         if through > mine {
             self.send(from, Msg::Pull { from: mine });
         } else if through < mine {
-            self.send(from, Msg::Hello { through: mine });
+            let loads = self.loads().into();
+            self.send(
+                from,
+                Msg::Hello {
+                    through: mine,
+                    loads,
+                },
+            );
         }
     }
 
