--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -27,6 +27,7 @@
 /// Measures all slopes.
 pub(crate) fn run() -> Result<()> {
     let slopes = [
+        catalogue_memory(),
         pin_bytes(),
         pinned_packet(),
         new_flow_bytes(),
@@ -37,7 +38,9 @@
         target_bytes(),
         object_bytes(),
         merge_time(),
-        tick_time(),
+        tick_time("tick-time", |_| FAILURE_DOMAINS),
+        tick_time("tick-time-small-cells", |vms| vms / SMALL_CELL),
+        claim_bytes(),
     ];
     let header = "slope,x,y,base,per unit,largest residual,same in every run,points";
     let mut rows = Vec::new();
@@ -288,10 +291,14 @@
     }
 }
 
-/// Objects of a fleet of `vms` VMs in 16 failure domains with targets in
-/// proportion, as at the target size.
-fn objects(vms: usize) -> Vec<Object> {
-    const DOMAINS: usize = 16;
+/// Failure domains at the target size.
+const FAILURE_DOMAINS: usize = 16;
+/// VMs of a cell that is kept small.
+const SMALL_CELL: usize = 32;
+
+/// Objects of a fleet of `vms` VMs with targets and services in proportion to
+/// the target size.
+fn objects(vms: usize, domains: usize) -> Vec<Object> {
     let mut list = Vec::new();
     let mut push = |key, body| {
         let version = Version(list.len() as u64 + 1);
@@ -326,7 +333,7 @@
     for i in 0..vms {
         let vm = Vm {
             member: vm(i as u32 + 1),
-            domain: domain_id(i % DOMAINS),
+            domain: domain_id(i % domains),
             datagram: Address::from(([10, 2, (i >> 8) as u8, i as u8], 1)),
             peer: Address::from(([10, 2, (i >> 8) as u8, i as u8], 2)),
             http: Address::from(([10, 2, (i >> 8) as u8, i as u8], 3)),
@@ -340,14 +347,14 @@
         let host = wire::Host {
             id: HostId(i as u64 + 1),
             service,
-            domain: domain_id(i % DOMAINS),
+            domain: domain_id(i % domains),
             address: Address::from(([10, 1, (i >> 8) as u8, i as u8], 1)),
             state: State::Live,
         };
         push(ObjectKey::new("host", host.id), Body::Host(host));
     }
-    for domain in 0..DOMAINS {
-        let members = (0..vms).filter(|i| i % DOMAINS == domain).take(32);
+    for domain in 0..domains {
+        let members = (0..vms).filter(|i| i % domains == domain).take(32);
         let view = View {
             number: Number(1),
             members: members.map(|i| vm(i as u32 + 1)).collect(),
@@ -362,7 +369,7 @@
 
 fn object_bytes() -> Slope {
     let points = FLEETS.map(|vms| {
-        let objects = objects(vms);
+        let objects = objects(vms, FAILURE_DOMAINS);
         let n = objects.len() as f64;
         let through = Version(objects.len() as u64);
         let delta = burdocklever::Msg::Delta(Delta {
@@ -383,7 +390,7 @@
 
 fn merge_time() -> Slope {
     let points = FLEETS.map(|vms| {
-        let objects = objects(vms);
+        let objects = objects(vms, FAILURE_DOMAINS);
         let time = timed(|| {
             let mut catalogue = Catalogue::default();
             for object in objects.clone() {
@@ -401,12 +408,65 @@
     }
 }
 
+/// Memory that a catalogue takes in this process.
+fn catalogue_memory() -> Slope {
+    // Nothing is freed meanwhile, so that no memory is used again.
+    let mut held = Vec::new();
+    let points = FLEETS.map(|vms| {
+        let objects = objects(vms, FAILURE_DOMAINS);
+        let n = objects.len() as f64;
+        let before = resident();
+        let mut catalogue = Catalogue::default();
+        for object in objects.iter().cloned() {
+            catalogue.merge(object);
+        }
+        let after = resident();
+        held.push((objects, catalogue));
+        (n, after - before)
+    });
+    Slope {
+        name: "catalogue-memory",
+        x: "catalogue objects",
+        y: "bytes resident",
+        exact: false,
+        points: points.to_vec(),
+    }
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> f64 {
+    const PAGE_BYTES: f64 = 4096.0;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
+/// Bytes of handing claims with short answers to a new owner.
+fn claim_bytes() -> Slope {
+    let points = [1000u64, 2000, 4000].map(|n| {
+        let claims = burdocklever::Claims::answered(Time(0), n, b"credit posted".as_slice());
+        let msg = burdocklever::Msg::Handover {
+            view: Number(2),
+            taint: burdocklever::Ms(0),
+            claims: Box::new(claims),
+        };
+        (n as f64, encoded(&msg) as f64)
+    });
+    Slope {
+        name: "claim-bytes",
+        x: "claims handed over",
+        y: "bytes",
+        exact: true,
+        points: points.to_vec(),
+    }
+}
+
 /// Time that ticks take at one VM of a large fleet, by the fleet's size.
-fn tick_time() -> Slope {
+fn tick_time(name: &'static str, domains: fn(usize) -> usize) -> Slope {
     const SECONDS: u64 = 5;
     const TICK_MS: u64 = 20;
     let points = FLEETS.map(|vms| {
-        let objects = objects(vms);
+        let objects = objects(vms, domains(vms));
         let through = Version(objects.len() as u64);
         let mut node = Node::new(Time(0), vm(1), domain_id(0));
         let delta = Delta {
@@ -427,7 +487,7 @@
         (vms as f64, time / 1000.0 / SECONDS as f64)
     });
     Slope {
-        name: "tick-time",
+        name,
         x: "VMs in the fleet",
         y: "us a second at one VM",
         exact: false,
--- a/burdocklever/src/bear.rs
+++ b/burdocklever/src/bear.rs
@@ -2,7 +2,7 @@
 //!
 //! A target starts at the cold limits of its service. Timely answers raise the
 //! estimate step by step, refusals and timeouts halve it, and a new incarnation
-//! or a long silence takes it back to cold. Reports only lower it.
+//! or a long silence takes it back to cold.
 
 use wire::{Incarnation, Limits};
 
@@ -75,15 +75,6 @@
         self.conns = (self.conns / 2).max(1);
     }
 
-    /// Takes in what the target's load endpoint told. It only lowers the
-    /// estimate, and only while it lasts.
-    pub fn reported(&mut self, now: Time, life: Incarnation, limits: &Limits) {
-        if life != self.life && self.life != Incarnation(0) {
-            self.chill(now, limits);
-        }
-        self.life = life;
-    }
-
     /// Raises the flow limit after time without trouble; a silent target cools.
     pub fn tick(&mut self, now: Time, limits: &Limits) {
         if now.since(self.heard) >= STALE {
--- a/burdocklever/src/claim.rs
+++ b/burdocklever/src/claim.rs
@@ -51,6 +51,21 @@
 }
 
 impl Claims {
+    /// `n` claims that were answered with `body`, to measure with.
+    pub fn answered(now: Time, n: u64, body: &[u8]) -> Claims {
+        let mut claims = Claims::default();
+        for i in 0..n {
+            let answer = Answer {
+                status: 200,
+                life: Incarnation(1),
+                body: body.into(),
+            };
+            let key = crate::rank::hash(&i.to_le_bytes());
+            claims.set(now, key, Claim::Done(answer));
+        }
+        claims
+    }
+
     /// Number of claims held.
     pub fn len(&self) -> usize {
         self.map.len()
--- a/burdocklever/src/flow.rs
+++ b/burdocklever/src/flow.rs
@@ -151,13 +151,17 @@
     fn end_flow(&mut self, key: FlowKey, host: HostId) {
         self.pins.end(self.now, key);
         self.flows.ended.push(key);
-        if self.now >= self.flows.unsure {
-            return;
-        }
-        let Some(service) = self.catalogue.host(host).map(|h| h.service.clone()) else {
+        let Some(host) = self.catalogue.host(host) else {
             return;
         };
-        for to in self.may_know(&service, key) {
+        let mut told = BTreeSet::new();
+        if host.domain != self.domain {
+            told.extend(self.steward_of(host));
+        }
+        if self.now < self.flows.unsure {
+            told.extend(self.may_know(&host.service, key));
+        }
+        for to in told {
             let batch = PinBatch {
                 pins: Vec::new(),
                 ended: vec![key],
@@ -589,6 +593,10 @@
 
     pub(crate) fn admit(&mut self, from: Member, key: FlowKey, service: &ServiceId, host: HostId) {
         let host = self.admit_here(from, key, service, host);
+        // The flow may outlive the owner's whole cell.
+        if let Some(host) = host.filter(|_| self.is_far(from)) {
+            self.pins.keep(self.now, key, host, true);
+        }
         self.send(from, Msg::Admitted { key, host });
     }
 
@@ -762,12 +770,14 @@
         })
     }
 
+    fn is_far(&self, member: Member) -> bool {
+        let vm = self.catalogue.vm(member.vm);
+        vm.is_none_or(|v| v.domain != self.domain)
+    }
+
     /// Keeps another owner's pins. A pin that this VM owns stays as it is.
     pub(crate) fn back_up(&mut self, from: Member, batch: PinBatch) {
-        let far = self
-            .catalogue
-            .vm(from.vm)
-            .is_none_or(|v| v.domain != self.domain);
+        let far = self.is_far(from);
         let members = self.cell.view().members.clone();
         for FlowPin { key, host } in batch.pins {
             if self.pins.get(self.now, key).is_some_and(|p| p.own) {
--- a/burdocklever/src/main.rs
+++ b/burdocklever/src/main.rs
@@ -128,7 +128,10 @@
 
 fn main() -> ExitCode {
     let command = command().run();
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("{error}");
--- a/burdocklever/src/node.rs
+++ b/burdocklever/src/node.rs
@@ -141,8 +141,6 @@
     Forwarded(ReqId, End),
     /// A dispatched request ended.
     Ended(ReqId, End),
-    /// A target's load endpoint told its incarnation.
-    Reported(HostId, wire::Incarnation),
     /// The daemon was told to stop.
     Stop,
 }
@@ -261,7 +259,6 @@
             Event::Work(id, hop, request) => self.work(id, hop, request),
             Event::Forwarded(id, end) => self.forwarded(id, end),
             Event::Ended(id, end) => self.ended(id, end),
-            Event::Reported(host, life) => self.reported(host, life),
             Event::Stop => self.leaving = true,
         }
     }
--- a/burdocklever/src/request.rs
+++ b/burdocklever/src/request.rs
@@ -237,7 +237,7 @@
             Some(Claim::Foreign) => self.finish(id, End::Unknown { after: AFTER }),
             Some(_) => match self.jobs.holder(hash) {
                 Some(_) => self.wait_for(id, hash),
-                None => self.resume(id, key, hash),
+                None => self.resume(id, hash),
             },
             None => self.claim(id, key, hash),
         }
@@ -251,13 +251,13 @@
     }
 
     /// Goes on with a claim that no request holds any more.
-    fn resume(&mut self, id: ReqId, key: Key, hash: u64) {
+    fn resume(&mut self, id: ReqId, hash: u64) {
         match self.claims.get(hash) {
             Some(Claim::Ready) => {
                 self.hold(id, hash);
                 self.seek(id);
             }
-            Some(Claim::Noting) => self.confirm(id, key, hash),
+            Some(Claim::Noting) => self.confirm(id, hash),
             _ => self.finish(id, End::Unknown { after: AFTER }),
         }
     }
@@ -285,11 +285,11 @@
         if self.settle.is_tainted(self.now) {
             return self.finish(id, End::Unknown { after: AFTER });
         }
-        self.confirm(id, key, hash);
+        self.confirm(id, hash);
     }
 
     /// Has a witness keep the claim before the request may start.
-    fn confirm(&mut self, id: ReqId, _key: Key, hash: u64) {
+    fn confirm(&mut self, id: ReqId, hash: u64) {
         self.hold(id, hash);
         let members = &self.cell.view().members;
         if members.len() == 1 {
@@ -514,13 +514,6 @@
         }
     }
 
-    pub(crate) fn reported(&mut self, host: HostId, life: wire::Incarnation) {
-        if let Some(target) = self.stewards.targets.get_mut(&host) {
-            let limits = target.limits;
-            target.bearing.reported(self.now, life, &limits);
-        }
-    }
-
     /// Gives free slots to waiting requests, the most important first.
     fn drain_queue(&mut self) {
         let jobs = self.jobs.map.iter();
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -11,6 +11,7 @@
 use wire::{DomainId, HostId, ServiceId};
 
 use crate::caller::Report;
+use crate::platform::Calls;
 use crate::target::{Seen, Spec};
 use crate::topology::Result;
 
@@ -93,7 +94,7 @@
 }
 
 /// One process of the deployment.
-struct Process {
+pub(crate) struct Process {
     name: String,
     child: Child,
 }
@@ -111,20 +112,21 @@
 }
 
 /// An entry VM as its settings file describes it.
-struct VmPlace {
+pub(crate) struct VmPlace {
     file: PathBuf,
     domain: DomainId,
-    http: SocketAddr,
+    pub(crate) http: SocketAddr,
+    pub(crate) datagram: SocketAddr,
 }
 
 /// A deployment as its folder describes it.
-struct Deployment {
+pub(crate) struct Deployment {
     folder: PathBuf,
     platform: SocketAddr,
     fabric: SocketAddr,
-    vms: Vec<VmPlace>,
-    targets: Vec<(DomainId, SocketAddr, Vec<Spec>)>,
-    services: Vec<(ServiceId, SocketAddr)>,
+    pub(crate) vms: Vec<VmPlace>,
+    pub(crate) targets: Vec<(DomainId, SocketAddr, Vec<Spec>)>,
+    pub(crate) services: Vec<(ServiceId, SocketAddr)>,
 }
 
 impl Deployment {
@@ -190,13 +192,14 @@
     Ok(VmPlace {
         domain: value("domain").ok_or_else(missing)?.parse()?,
         http: value("http").ok_or_else(missing)?.parse()?,
+        datagram: value("datagram").ok_or_else(missing)?.parse()?,
         file,
     })
 }
 
 /// A running deployment. Its processes end with it.
-struct Running {
-    deployment: Deployment,
+pub(crate) struct Running {
+    pub(crate) deployment: Deployment,
     platform: Process,
     vms: Vec<Process>,
     others: Vec<Process>,
@@ -214,7 +217,7 @@
     Ok(Process { name, child })
 }
 
-fn standin(args: &[String]) -> Result<Process> {
+pub(crate) fn standin(args: &[String]) -> Result<Process> {
     let mut command = Command::new(program("standin"));
     command.args(args).stdout(Stdio::null());
     start(format!("standin {}", args[0]), command)
@@ -222,7 +225,7 @@
 
 impl Running {
     /// Starts everything and waits until all VMs are ready and hold leases.
-    async fn open(folder: &Path) -> Result<Running> {
+    pub(crate) async fn open(folder: &Path) -> Result<Running> {
         let deployment = Deployment::open(folder)?;
         let arg = |s: &str| s.to_string();
         let platform_at = deployment.platform.to_string();
@@ -312,6 +315,12 @@
         bytes
     }
 
+    async fn platform_calls(&self) -> Result<u64> {
+        let url = format!("http://{}/calls", self.deployment.platform);
+        let calls: Calls = self.http.get(url).send().await?.json().await?;
+        Ok(calls.reads + calls.writes)
+    }
+
     async fn seen(&self) -> Result<BTreeMap<HostId, Seen>> {
         let mut all = BTreeMap::new();
         for (_, control, _) in &self.deployment.targets {
@@ -374,6 +383,8 @@
     report: Report,
     seen: BTreeMap<HostId, Seen>,
     control: u64,
+    /// Platform calls a second, of all VMs and stand-ins.
+    calls: f64,
     /// Failure domain that was out at some time.
     out: Option<DomainId>,
     /// Datagrams that reached its targets too late.
@@ -449,6 +460,7 @@
         );
         println!("requests over a limit, cold   {over}, {over_cold}");
         println!("control bytes/s per VM        {}", self.control);
+        println!("platform calls/s, all         {:.1}", self.calls);
         let mut wrong = Vec::new();
         let mut must = |holds: bool, text: String| {
             if !holds {
@@ -493,6 +505,7 @@
 async fn run_once(options: &Options) -> Result<(Running, Outcome)> {
     let mut running = Running::open(&options.deployment).await?;
     let before = running.control_bytes().await;
+    let calls = running.platform_calls().await?;
     let started = tokio::time::Instant::now();
     let at = |n: usize| {
         let (service, address) = &running.deployment.services[n];
@@ -514,6 +527,7 @@
         report: Report::default(),
         seen: BTreeMap::new(),
         control: 0,
+        calls: 0.0,
         out: None,
         late: 0,
         hit: matches!(options.fault, Fault::Kill | Fault::Freeze | Fault::Domain),
@@ -525,6 +539,7 @@
     outcome.report = serde_json::from_slice(&output.stdout)?;
     let seconds = started.elapsed().as_secs().max(1);
     let after = running.control_bytes().await;
+    outcome.calls = (running.platform_calls().await? - calls) as f64 / seconds as f64;
     let spent = before.iter().zip(&after).map(|(a, b)| b.saturating_sub(*a));
     outcome.control = spent.sum::<u64>() / seconds / after.len().max(1) as u64;
     outcome.seen = running.seen().await?;
@@ -601,7 +616,7 @@
 
 impl Running {
     /// Stops the VMs as an operator would, then everything else.
-    async fn stop(mut self) {
+    pub(crate) async fn stop(mut self) {
         const STOP_WAIT: Duration = Duration::from_secs(5);
         for vm in &self.vms {
             vm.signal("-TERM");
--- a/standin/src/fabric.rs
+++ b/standin/src/fabric.rs
@@ -143,7 +143,11 @@
 }
 
 /// The datagram behind a PROXY protocol header (version 2).
-fn with_header(caller: SocketAddr, service: SocketAddr, payload: &[u8]) -> Option<Vec<u8>> {
+pub(crate) fn with_header(
+    caller: SocketAddr,
+    service: SocketAddr,
+    payload: &[u8],
+) -> Option<Vec<u8>> {
     let header = Builder::with_addresses(
         Version::Two | Command::Proxy,
         Protocol::Datagram,
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod demo;
 mod fabric;
+mod measure;
 mod platform;
 mod target;
 mod topology;
@@ -65,6 +66,23 @@
         #[bpaf(external(demo::options))]
         options: demo::Options,
     },
+    /// Forwards datagrams and requests without any decision
+    #[bpaf(command)]
+    Forward {
+        /// Address to listen on
+        #[bpaf(long, argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Address to forward to
+        #[bpaf(long, argument("ADDRESS"))]
+        to: SocketAddr,
+    },
+    /// Measures an entry VM against the plain forwarder
+    #[bpaf(command)]
+    Measure {
+        /// Folder of the deployment
+        #[bpaf(long, argument("FOLDER"), fallback(PathBuf::from("settings/gh-south")))]
+        deployment: PathBuf,
+    },
     /// Runs the tests that need an operating system
     #[bpaf(command)]
     Prove {
@@ -90,6 +108,8 @@
             targets,
         } => target::serve(platform, control, domain, targets).await,
         Command::Caller { plan } => caller::run(plan).await,
+        Command::Forward { listen, to } => measure::forward(listen, to).await,
+        Command::Measure { deployment } => return measure::run(&deployment).await,
         Command::Demo { options } => return demo::run(options).await,
         Command::Prove { deployment } => return demo::prove(&deployment).await,
     };
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -307,6 +307,10 @@
         Mode::Ok | Mode::Shed => {}
     }
     let life = [(header::INCARNATION, life.to_string())];
+    if uri.path() == "/echo" {
+        drop(busy);
+        return (life, body).into_response();
+    }
     if uri.path() == "/download" {
         return (life, download(busy)).into_response();
     }
