Split the large modules; pace watches

A burst of changes made every watcher watch again at once: at 320 watchers and the default share of 10 calls a second that is 3200 calls a second, over the platform's 2000.

Change: event (what goes in and out of a node), admit, keep, guard and run are modules of their own, as are the deployment of the demonstration and the world's steps and transport. A watcher waits 200 ms between two watches: at most 5 calls a second each.

--- /dev/null
+++ b/burdocklever/src/admit.rs
@@ -0,0 +1,238 @@
+//! Admission of new flows: which steward is asked for which target.
+
+use wire::{HostId, Member, ServiceId};
+
+use crate::code::Code;
+use crate::flow::{FarLoad, Wait, ASK_WAIT};
+use crate::msg::{FlowKey, Load, Msg};
+use crate::node::Node;
+use crate::rank;
+use crate::time::Ms;
+
+/// Age up to which another cell's loads are believed.
+const FAR_FRESH: Ms = Ms(5000);
+/// A target of another cell is taken if it has fewer flows by one in this many,
+/// and by a few more.
+const FAR_MARGIN: u32 = 100;
+const FAR_MARGIN_MIN: u32 = 4;
+/// Stewards that are asked to admit one flow.
+const ADMIT_TRIES: usize = 4;
+
+/// A target with room.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Room {
+    pub(crate) steward: Member,
+    pub(crate) host: HostId,
+    pub(crate) conns: u32,
+}
+
+impl Node {
+    /// Asks the next steward to admit a new flow.
+    pub(crate) fn seek_admission(&mut self, key: FlowKey) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        let service = pending.service.clone();
+        let choice = if pending.tried.len() < ADMIT_TRIES {
+            self.choose_steward(&service, key, &pending.tried)
+        } else {
+            None
+        };
+        let Some((steward, host)) = choice else {
+            return self.give_up(key, Code::NoRoom);
+        };
+        let until = self.now + ASK_WAIT;
+        if let Some(pending) = self.flows.pending.get_mut(&key) {
+            pending.tried.push(steward);
+            pending.wait = Wait::Admitted(steward);
+            pending.until = until;
+        }
+        if steward == self.me {
+            let host = self.admit_here(self.me, key, &service, host);
+            self.admitted(self.me, key, host);
+        } else {
+            self.send(steward, Msg::Admit { key, service, host });
+        }
+    }
+
+    /// Steward and target for a new flow: of the targets with room in this
+    /// failure domain, the less loaded of two that the key ranks first; then
+    /// the other cells in the key's order.
+    pub(crate) fn choose_steward(
+        &self,
+        service: &ServiceId,
+        key: FlowKey,
+        tried: &[Member],
+    ) -> Option<(Member, HostId)> {
+        let near = emptiest(key, self.rooms(service, tried));
+        let far = emptiest(key, self.far_rooms(service, key, tried));
+        let best = match (near, far) {
+            (Some(near), Some(far))
+                if far.conns + far.conns / FAR_MARGIN + FAR_MARGIN_MIN < near.conns =>
+            {
+                Some(far)
+            }
+            (near, far) => near.or(far),
+        };
+        if let Some(best) = best {
+            return Some((best.steward, best.host));
+        }
+        for domain in self.catalogue.cells_for(service, key.0) {
+            if domain == self.domain {
+                continue;
+            }
+            let hosts = self
+                .catalogue
+                .hosts(service)
+                .filter(|h| h.domain == domain && self.catalogue.takes_new(h));
+            let stewards = hosts.filter_map(|h| Some((self.steward_of(h)?, h.id)));
+            let open = stewards.filter(|(s, _)| !tried.contains(s) && !self.is_suspect(*s));
+            let best = open.max_by_key(|(_, host)| rank::score(key.0, host.0));
+            if best.is_some() {
+                return best;
+            }
+        }
+        None
+    }
+
+    /// Targets of this cell with room, with their load in 1/1024 of what they bear.
+    pub(crate) fn rooms(&self, service: &ServiceId, tried: &[Member]) -> Vec<Room> {
+        let own = self.loads();
+        let peers = self
+            .cell
+            .loads(self.now)
+            .map(|(member, load)| (member, *load));
+        let all = own.into_iter().map(|load| (self.me, load)).chain(peers);
+        let fits = |host: HostId, steward: Member| {
+            self.catalogue.host(host).is_some_and(|h| {
+                h.service == *service
+                    && self.catalogue.takes_new(h)
+                    && self.steward_of(h) == Some(steward)
+            })
+        };
+        // All owners see the same old loads, so each counts for all of them.
+        let owners = self.cell.view().members.len() as u32;
+        all.filter(|(steward, load)| !tried.contains(steward) && fits(load.host, *steward))
+            .filter_map(|(steward, load)| {
+                let recent = owners * self.flows.recent.get(&load.host).copied().unwrap_or(0);
+                let conns = load.conns + if steward == self.me { 0 } else { recent };
+                (conns < load.bears).then_some(Room {
+                    steward,
+                    host: load.host,
+                    conns,
+                })
+            })
+            .collect()
+    }
+
+    /// Targets with room in the cell that the key ranks second. All owners see
+    /// the same old loads, so each counts its own flows since for all of them.
+    pub(crate) fn far_rooms(
+        &self,
+        service: &ServiceId,
+        key: FlowKey,
+        tried: &[Member],
+    ) -> Vec<Room> {
+        let cells = self.catalogue.cells_for(service, key.0);
+        let Some(second) = cells.into_iter().find(|c| *c != self.domain) else {
+            return Vec::new();
+        };
+        let owners = self
+            .catalogue
+            .cells()
+            .map(|(_, view)| view.members.len() as u32);
+        let owners: u32 = owners.sum();
+        let fits = |id: &HostId, far: &FarLoad| {
+            let host = self.catalogue.host(*id);
+            host.is_some_and(|h| {
+                h.domain == second
+                    && h.service == *service
+                    && self.catalogue.takes_new(h)
+                    && self.steward_of(h) == Some(far.steward)
+            }) && !tried.contains(&far.steward)
+                && !self.is_suspect(far.steward)
+                && self.now.since(far.at) < FAR_FRESH
+        };
+        let fitting = self.flows.far.iter().filter(|(id, far)| fits(id, far));
+        let rooms = fitting.map(|(id, far)| Room {
+            steward: far.steward,
+            host: *id,
+            conns: far.load.conns + owners * self.flows.recent.get(id).copied().unwrap_or(0),
+        });
+        rooms
+            .filter(|r| r.conns < self.flows.far[&r.host].load.bears)
+            .collect()
+    }
+
+    /// Takes in the loads that a steward of another cell told.
+    pub(crate) fn told_far_loads(&mut self, from: Member, loads: &[Load]) {
+        for load in loads {
+            let far = FarLoad {
+                steward: from,
+                load: *load,
+                at: self.now,
+            };
+            self.flows.far.insert(load.host, far);
+            self.flows.recent.remove(&load.host);
+        }
+    }
+
+    pub(crate) fn admit(&mut self, from: Member, key: FlowKey, service: &ServiceId, host: HostId) {
+        let host = self.admit_here(from, key, service, host);
+        // The flow may outlive the owner's whole cell.
+        if let Some(host) = host.filter(|_| self.is_far(from)) {
+            self.pins.keep(self.now, key, host, true);
+        }
+        self.send(from, Msg::Admitted { key, host });
+    }
+
+    /// Admits a flow at `host`, or at another target that this VM guards.
+    pub(crate) fn admit_here(
+        &mut self,
+        owner: Member,
+        key: FlowKey,
+        service: &ServiceId,
+        host: HostId,
+    ) -> Option<HostId> {
+        if !self.cell.holds_lease(self.now) {
+            return None;
+        }
+        let others = self.stewards.targets.keys().copied().filter(|h| *h != host);
+        let candidates: Vec<HostId> = std::iter::once(host).chain(others).collect();
+        candidates.into_iter().find(|id| {
+            let takes = self
+                .catalogue
+                .host(*id)
+                .is_some_and(|h| h.service == *service && self.catalogue.takes_new(h));
+            let own = self.pins.count(*id);
+            let (now, me) = (self.now, self.me);
+            let target = self.stewards.targets.get_mut(id).filter(|_| takes);
+            target.is_some_and(|t| {
+                t.count(now, me, own, now + Ms(1));
+                t.is_open(now) && t.admit(now, key, owner)
+            })
+        })
+    }
+
+    pub(crate) fn admitted(&mut self, from: Member, key: FlowKey, host: Option<HostId>) {
+        let Some(pending) = self.flows.pending.get(&key) else {
+            return;
+        };
+        if !matches!(pending.wait, Wait::Admitted(steward) if steward == from) {
+            return;
+        }
+        let Some(host) = host else {
+            return self.seek_admission(key);
+        };
+        self.counts.opened += 1;
+        *self.flows.recent.entry(host).or_default() += 1;
+        self.adopt(key, host);
+        self.resolve(key, host);
+    }
+}
+
+/// The target with the fewest flows, and of several the key's first-ranked.
+fn emptiest(key: FlowKey, rooms: Vec<Room>) -> Option<Room> {
+    let rank = |r: &Room| std::cmp::Reverse(rank::score(key.0, r.host.0));
+    rooms.into_iter().min_by_key(|r| (r.conns, rank(r)))
+}
--- a/burdocklever/src/daemon.rs
+++ b/burdocklever/src/daemon.rs
@@ -11,8 +11,9 @@
 use crate::code::Code;
 use crate::driver::Driver;
 use crate::edge::{self, Edge};
+use crate::event::Event;
 use crate::metrics::Metrics;
-use crate::node::{Event, Node};
+use crate::node::Node;
 use crate::peer;
 use crate::platform::{backoff, Platform};
 use crate::settings::Settings;
@@ -30,6 +31,8 @@
     pub detail: Box<str>,
 }
 
+/// Time between two watches, so that a burst of changes costs few calls.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Time between looks at the platform while a peer watches it.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
 
@@ -211,6 +214,7 @@
                     through: watch.version,
                     objects: watch.objects,
                 }));
+                tokio::time::sleep(WATCH_PAUSE).await;
             }
             Err(error) => {
                 if attempt == 0 {
--- a/burdocklever/src/driver.rs
+++ b/burdocklever/src/driver.rs
@@ -14,8 +14,9 @@
 
 use crate::code::Code;
 use crate::edge::{Call, Response};
+use crate::event::{Action, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
 use crate::msg::{Envelope, FlowKey, Msg};
-use crate::node::{Action, End, Event, Hop, Mark, Node, Packet, PacketId, ReqId, Request};
+use crate::node::Node;
 use crate::peer::{is_bulk, Passed, Peers};
 use crate::platform::Platform;
 use crate::rank;
--- a/burdocklever/src/edge.rs
+++ b/burdocklever/src/edge.rs
@@ -17,10 +17,10 @@
 use crate::claim::Answer;
 use crate::code::Code;
 use crate::driver::Driver;
+use crate::event::{End, Event, Hop, ReqId, Request};
 use crate::key::Key;
 use crate::metrics::Metrics;
 use crate::msg::Envelope;
-use crate::node::{End, Event, Hop, ReqId, Request};
 use crate::time::Ms;
 use crate::trace::Span;
 
--- /dev/null
+++ b/burdocklever/src/guard.rs
@@ -0,0 +1,72 @@
+//! Taking over targets as their steward.
+
+use std::collections::BTreeSet;
+
+use wire::{HostId, Member};
+
+use crate::cell::LEASE;
+use crate::node::Node;
+use crate::steward::Target;
+use crate::time::Ms;
+
+impl Node {
+    /// Takes over the targets that the view makes this VM steward of.
+    pub(crate) fn take_targets(&mut self) {
+        let number = self.cell.view().number;
+        let near = self.catalogue.hosts_in(&self.domain);
+        let mine: Vec<wire::Host> = near
+            .filter(|h| self.catalogue.serves(h) && self.steward_of(h) == Some(self.me))
+            .cloned()
+            .collect();
+        let ids: BTreeSet<HostId> = mine.iter().map(|h| h.id).collect();
+        self.stewards.targets.retain(|id, _| ids.contains(id));
+        for host in mine {
+            let Some(service) = self.catalogue.service(&host.service) else {
+                continue;
+            };
+            let (limits, longest) = (service.limits, Ms(service.deadline_ms));
+            if let Some(target) = self.stewards.targets.get_mut(&host.id) {
+                target.limits = limits;
+                continue;
+            }
+            let mut target = Target::new(self.now, limits, number);
+            target.awaited = self.neighbours().into_iter().collect();
+            target.hold = self.now + LEASE + LEASE + longest;
+            self.stewards.targets.insert(host.id, target);
+        }
+    }
+
+    /// Requests that other VMs still have in progress at a target guarded here.
+    pub(crate) fn elsewhere(&self, host: HostId) -> u32 {
+        let longest = self
+            .catalogue
+            .host(host)
+            .and_then(|h| self.catalogue.service(&h.service))
+            .map_or(Ms(0), |s| Ms(s.deadline_ms));
+        let may_run = |p: &&crate::cell::Peer| {
+            !self.catalogue.is_gone(p.member) && self.now.since(p.heard) < LEASE + longest
+        };
+        let peers = self.cell.peers().filter(may_run);
+        let counts = peers.flat_map(|p| p.last.busy.iter());
+        counts.filter(|c| c.host == host).map(|c| c.count).sum()
+    }
+
+    /// Notes that a VM has told what it has in progress at targets guarded here.
+    pub(crate) fn told_busy(&mut self, from: Member) {
+        let Some(view) = self.cell.peer(from.vm).map(|p| p.last.view) else {
+            return;
+        };
+        for target in self.stewards.targets.values_mut() {
+            if view >= target.since {
+                target.awaited.remove(&from);
+            }
+        }
+    }
+
+    pub(crate) fn update_awaited(&mut self) {
+        let catalogue = &self.catalogue;
+        for target in self.stewards.targets.values_mut() {
+            target.awaited.retain(|m| !catalogue.is_gone(*m));
+        }
+    }
+}
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(node.pull(), None);
 //! ```
 
+mod admit;
 mod bear;
 mod catalogue;
 mod cell;
@@ -30,7 +31,10 @@
 mod driver;
 mod edge;
 mod entry;
+mod event;
 mod flow;
+mod guard;
+mod keep;
 mod key;
 pub mod logs;
 mod metrics;
@@ -42,6 +46,7 @@
 mod platform;
 mod rank;
 mod request;
+mod run;
 mod settings;
 mod settle;
 mod source;
@@ -61,9 +66,10 @@
     pub use crate::entry::{open, parse};
 }
 
+pub use event::{Action, Counts, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
 pub use key::{Issued, Key};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
-pub use node::{Action, Counts, End, Event, Hop, Mark, Node, Packet, PacketId, ReqId, Request};
+pub use node::Node;
 pub use operate::{Change, Error as OperatorError, Operator};
 pub use pin::{Pinned, Pins, IDLE, REFRESH};
 pub use platform::{Error as PlatformError, Platform};
--- a/burdocklever/src/peer.rs
+++ b/burdocklever/src/peer.rs
@@ -17,8 +17,8 @@
 
 use crate::code::Code;
 use crate::driver::Driver;
+use crate::event::Packet;
 use crate::msg::{Envelope, Msg};
-use crate::node::Packet;
 
 /// Time that a remote call may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
--- a/burdocklever/src/request.rs
+++ b/burdocklever/src/request.rs
@@ -6,38 +6,32 @@
 
 use std::collections::BTreeMap;
 
-use wire::{Class, HostId, Member, Number, ServiceId};
+use wire::{Class, HostId, Member, Number};
 
-use crate::cell::LEASE;
 use crate::claim::{Answer, Claim, KEY_LIFE};
 use crate::code::Code;
+use crate::event::{Action, End, Hop, ReqId, Request};
 use crate::key::{Issued, Key};
 use crate::msg::Msg;
-use crate::node::{Action, End, Hop, Node, ReqId, Request};
+use crate::node::Node;
 use crate::rank;
 use crate::time::{Ms, Time};
 
 /// Stewards that are asked to run one request.
-const RUN_TRIES: usize = 4;
-/// Time for which a request waits at a steward for a slot.
-const QUEUE_WAIT: Ms = Ms(250);
-/// Requests that may wait at one steward, by class.
-const QUEUE_CRITICAL: usize = 16;
-const QUEUE_NORMAL: usize = 8;
-const QUEUE_BULK: usize = 4;
+pub(crate) const RUN_TRIES: usize = 4;
 /// Time to wait for a witness.
-const NOTE_WAIT: Ms = Ms(100);
+pub(crate) const NOTE_WAIT: Ms = Ms(100);
 /// Time for which a steward without room is passed over.
-const FULL: Ms = Ms(50);
+pub(crate) const FULL: Ms = Ms(50);
 /// Shortest time that a refused caller is told to stay away.
-const AFTER: Ms = Ms(200);
+pub(crate) const AFTER: Ms = Ms(200);
 /// Time that requests in progress have to finish once their target's failure
 /// domain is out.
-const OUT_GRACE: Ms = Ms(2000);
+pub(crate) const OUT_GRACE: Ms = Ms(2000);
 
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
+pub(crate) enum Stage {
     /// Just arrived, or between two attempts.
     New,
     /// Another VM works on it.
@@ -53,26 +47,26 @@
 }
 
 #[derive(Debug, Clone)]
-struct Job {
-    request: Request,
-    class: Class,
-    until: Time,
-    hop: Option<Hop>,
-    stage: Stage,
+pub(crate) struct Job {
+    pub(crate) request: Request,
+    pub(crate) class: Class,
+    pub(crate) until: Time,
+    pub(crate) hop: Option<Hop>,
+    pub(crate) stage: Stage,
     /// Key whose claim this request holds or waits for.
-    claim: Option<u64>,
-    tried: Vec<Member>,
-    replied: bool,
+    pub(crate) claim: Option<u64>,
+    pub(crate) tried: Vec<Member>,
+    pub(crate) replied: bool,
     /// When to cancel, once the target's failure domain is out.
-    cut: Option<Time>,
+    pub(crate) cut: Option<Time>,
 }
 
 /// Requests in the care of this VM.
 #[derive(Debug, Default)]
 pub(crate) struct Jobs {
-    map: BTreeMap<ReqId, Job>,
-    full: BTreeMap<Member, Time>,
-    issued: u64,
+    pub(crate) map: BTreeMap<ReqId, Job>,
+    pub(crate) full: BTreeMap<Member, Time>,
+    pub(crate) issued: u64,
 }
 
 impl Jobs {
@@ -93,7 +87,7 @@
         noting.filter_map(|(id, j)| Some((*id, j.claim?))).collect()
     }
 
-    fn queued(&self) -> usize {
+    pub(crate) fn queued(&self) -> usize {
         let queued = self
             .map
             .values()
@@ -102,12 +96,12 @@
     }
 
     /// The request that holds the claim of `key`, if one is in progress.
-    fn holder(&self, key: u64) -> Option<ReqId> {
+    pub(crate) fn holder(&self, key: u64) -> Option<ReqId> {
         let holds = |j: &Job| j.claim == Some(key) && j.stage != Stage::Waiting;
         self.map.iter().find(|(_, j)| holds(j)).map(|(id, _)| *id)
     }
 
-    fn waiting(&self, key: u64) -> Vec<ReqId> {
+    pub(crate) fn waiting(&self, key: u64) -> Vec<ReqId> {
         let waits = |j: &Job| j.claim == Some(key) && j.stage == Stage::Waiting;
         let list = self.map.iter().filter(|(_, j)| waits(j));
         list.map(|(id, _)| *id).collect()
@@ -159,7 +153,7 @@
         }
     }
 
-    fn add_job(&mut self, id: ReqId, hop: Option<Hop>, request: Request) {
+    pub(crate) fn add_job(&mut self, id: ReqId, hop: Option<Hop>, request: Request) {
         let service = self.catalogue.service(&request.service);
         let (class, longest) =
             service.map_or((Class::Bulk, Ms(0)), |s| (s.class, Ms(s.deadline_ms)));
@@ -178,7 +172,7 @@
     }
 
     /// Takes a request to the owner of its key.
-    fn seek_owner(&mut self, id: ReqId, key: Key) {
+    pub(crate) fn seek_owner(&mut self, id: ReqId, key: Key) {
         if let Key::Issued(issued) = key {
             if issued.member != self.me && self.catalogue.is_gone(issued.member) {
                 return self.finish(id, End::Lost);
@@ -191,7 +185,7 @@
         }
     }
 
-    fn key_owner(&self, key: Key) -> Option<Member> {
+    pub(crate) fn key_owner(&self, key: Key) -> Option<Member> {
         match key {
             Key::Issued(issued) => Some(issued.member),
             Key::Made(hash) => {
@@ -201,7 +195,7 @@
         }
     }
 
-    fn forward(&mut self, id: ReqId, to: Member, hop: Hop) {
+    pub(crate) fn forward(&mut self, id: ReqId, to: Member, hop: Hop) {
         let now = self.now;
         if let Some(job) = self.jobs.map.get_mut(&id) {
             job.stage = Stage::Forwarded(to, hop);
@@ -212,7 +206,7 @@
     }
 
     /// Whether this VM may claim keys that callers made and it has not seen.
-    fn may_own(&self, hash: u64) -> bool {
+    pub(crate) fn may_own(&self, hash: u64) -> bool {
         self.catalogue.home(hash) == Some(&self.domain)
             && rank::top(hash, &self.cell.view().members) == Some(self.me)
             && self.cell.holds_lease(self.now)
@@ -220,7 +214,7 @@
     }
 
     /// Claims the key of a request, or answers from an earlier claim.
-    fn own(&mut self, id: ReqId, key: Key) {
+    pub(crate) fn own(&mut self, id: ReqId, key: Key) {
         let hash = key.hash();
         if self.key_owner(key) != Some(self.me) {
             return self.reply_busy(id);
@@ -243,7 +237,7 @@
         }
     }
 
-    fn wait_for(&mut self, id: ReqId, hash: u64) {
+    pub(crate) fn wait_for(&mut self, id: ReqId, hash: u64) {
         if let Some(job) = self.jobs.map.get_mut(&id) {
             job.claim = Some(hash);
             job.stage = Stage::Waiting;
@@ -251,7 +245,7 @@
     }
 
     /// Goes on with a claim that no request holds any more.
-    fn resume(&mut self, id: ReqId, hash: u64) {
+    pub(crate) fn resume(&mut self, id: ReqId, hash: u64) {
         match self.claims.get(hash) {
             Some(Claim::Ready) => {
                 self.hold(id, hash);
@@ -262,13 +256,13 @@
         }
     }
 
-    fn hold(&mut self, id: ReqId, hash: u64) {
+    pub(crate) fn hold(&mut self, id: ReqId, hash: u64) {
         if let Some(job) = self.jobs.map.get_mut(&id) {
             job.claim = Some(hash);
         }
     }
 
-    fn claim(&mut self, id: ReqId, key: Key, hash: u64) {
+    pub(crate) fn claim(&mut self, id: ReqId, key: Key, hash: u64) {
         if let Key::Issued(issued) = key {
             let age = issued.age(self.now);
             // A claim outlives the age at which its key may start by KEY_LIFE.
@@ -289,7 +283,7 @@
     }
 
     /// Has a witness keep the claim before the request may start.
-    fn confirm(&mut self, id: ReqId, hash: u64) {
+    pub(crate) fn confirm(&mut self, id: ReqId, hash: u64) {
         self.hold(id, hash);
         let members = &self.cell.view().members;
         if members.len() == 1 {
@@ -324,7 +318,7 @@
     }
 
     /// Finds a steward to run the request.
-    fn seek(&mut self, id: ReqId) {
+    pub(crate) fn seek(&mut self, id: ReqId) {
         let Some(job) = self.jobs.map.get_mut(&id) else {
             return;
         };
@@ -349,143 +343,7 @@
         self.forward(id, steward, Hop::Run);
     }
 
-    /// A steward for a request: cells in the request's own order, weighted by
-    /// targets; in this cell the one with the most free slots.
-    fn choose_runner(&self, id: ReqId, service: &ServiceId, tried: &[Member]) -> Option<Member> {
-        let seed = rank::score(id.0, self.me.vm.0.into());
-        let mut last = None;
-        for domain in self.catalogue.cells_for(service, seed) {
-            let hosts = self
-                .catalogue
-                .hosts(service)
-                .filter(|h| h.domain == domain && self.catalogue.takes_new(h));
-            let mut stewards: Vec<(u64, Member)> = hosts
-                .filter_map(|h| Some((rank::score(seed, h.id.0), self.steward_of(h)?)))
-                .filter(|(_, s)| !tried.contains(s) && !self.is_suspect(*s))
-                .collect();
-            stewards.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-            let full = |m: &Member| self.jobs.full.get(m).is_some_and(|t| self.now < *t);
-            let best = if domain == self.domain {
-                self.freest(service, &stewards)
-            } else {
-                stewards.iter().map(|(_, s)| *s).find(|s| !full(s))
-            };
-            if best.is_some() {
-                return best;
-            }
-            last = last.or(stewards.first().map(|(_, s)| *s));
-        }
-        last
-    }
-
-    /// The member of this cell with the most free slots for a service.
-    fn freest(&self, service: &ServiceId, stewards: &[(u64, Member)]) -> Option<Member> {
-        let own = self.loads();
-        let peers = self
-            .cell
-            .loads(self.now)
-            .map(|(member, load)| (member, *load));
-        let all = own.into_iter().map(|load| (self.me, load)).chain(peers);
-        let mut free: BTreeMap<Member, u32> = BTreeMap::new();
-        for (member, load) in all {
-            let host = self.catalogue.host(load.host);
-            if host.is_some_and(|h| h.service == *service) {
-                *free.entry(member).or_default() += load.slots.saturating_sub(load.busy);
-            }
-        }
-        let open = |m: &Member| {
-            free.get(m).copied().unwrap_or(0) > 0
-                && self.jobs.full.get(m).is_none_or(|t| self.now >= *t)
-        };
-        stewards.iter().map(|(_, s)| *s).find(open)
-    }
-
-    /// Runs a request at a target that this VM guards, now or once one is free.
-    fn run_here(&mut self, id: ReqId) {
-        let Some(job) = self.jobs.map.get(&id) else {
-            return;
-        };
-        if let Some(host) = self.free_target(&job.request.service) {
-            return self.start(id, host);
-        }
-        let limit = match job.class {
-            Class::Critical => QUEUE_CRITICAL,
-            Class::Normal => QUEUE_NORMAL,
-            Class::Bulk => QUEUE_BULK,
-        };
-        let guards = self.guards(&job.request.service);
-        let queued = self.jobs.queued();
-        if !guards || queued >= limit {
-            return self.attempt_ended(id, not_started(self.come_back()));
-        }
-        let until = (self.now + QUEUE_WAIT).min(job.until);
-        if let Some(job) = self.jobs.map.get_mut(&id) {
-            job.stage = Stage::Queued(until);
-        }
-    }
-
-    /// When a refused request should come back, by the length of the queue.
-    fn come_back(&self) -> Ms {
-        AFTER + Ms(25 * self.jobs.queued() as u64)
-    }
-
-    fn guards(&self, service: &ServiceId) -> bool {
-        let mut ids = self.stewards.targets.keys();
-        ids.any(|id| self.takes_for(*id, service))
-    }
-
-    fn takes_for(&self, id: HostId, service: &ServiceId) -> bool {
-        let host = self.catalogue.host(id);
-        host.is_some_and(|h| h.service == *service && self.catalogue.takes_new(h))
-    }
-
-    /// The guarded target of a service with the most room, if any has some.
-    fn free_target(&self, service: &ServiceId) -> Option<HostId> {
-        if !self.cell.holds_lease(self.now) || !self.cell.is_active(self.now) {
-            return None;
-        }
-        let open = self
-            .stewards
-            .targets
-            .iter()
-            .filter(|(id, t)| t.is_open(self.now) && self.takes_for(**id, service));
-        let room = open.filter_map(|(id, t)| {
-            let busy = self.stewards.running(*id) + self.elsewhere(*id);
-            let slots = t.bearing.slots(&t.limits);
-            (busy < slots).then_some((busy * 1024 / slots, t.conns(), *id))
-        });
-        room.min().map(|(_, _, id)| id)
-    }
-
-    /// Requests that other VMs still have in progress at a target guarded here.
-    pub(crate) fn elsewhere(&self, host: HostId) -> u32 {
-        let longest = self
-            .catalogue
-            .host(host)
-            .and_then(|h| self.catalogue.service(&h.service))
-            .map_or(Ms(0), |s| Ms(s.deadline_ms));
-        let may_run = |p: &&crate::cell::Peer| {
-            !self.catalogue.is_gone(p.member) && self.now.since(p.heard) < LEASE + longest
-        };
-        let peers = self.cell.peers().filter(may_run);
-        let counts = peers.flat_map(|p| p.last.busy.iter());
-        counts.filter(|c| c.host == host).map(|c| c.count).sum()
-    }
-
-    fn start(&mut self, id: ReqId, host: HostId) {
-        let Some(address) = self.catalogue.host(host).map(|h| h.address) else {
-            return;
-        };
-        self.mark_started(id);
-        self.stewards.start(host, id);
-        if let Some(job) = self.jobs.map.get_mut(&id) {
-            job.stage = Stage::Running(host);
-            let budget = job.until.since(self.now);
-            self.act(Action::Dispatch(id, host, address, budget));
-        }
-    }
-
-    fn mark_started(&mut self, id: ReqId) {
+    pub(crate) fn mark_started(&mut self, id: ReqId) {
         if let Some(key) = self.jobs.map.get(&id).and_then(|j| j.claim) {
             self.claims.set(self.now, key, Claim::Started);
         }
@@ -501,36 +359,6 @@
         self.drain_queue();
     }
 
-    /// Adjusts the estimate of what a target bears.
-    fn learn(&mut self, host: HostId, end: &End) {
-        let Some(target) = self.stewards.targets.get_mut(&host) else {
-            return;
-        };
-        let limits = target.limits;
-        match end {
-            End::Answered(answer) => target.bearing.answered(self.now, answer.life, &limits),
-            End::NotStarted { .. } | End::Unknown { .. } => target.bearing.troubled(self.now),
-            _ => {}
-        }
-    }
-
-    /// Gives free slots to waiting requests, the most important first.
-    fn drain_queue(&mut self) {
-        let jobs = self.jobs.map.iter();
-        let mut queue: Vec<(Class, ReqId)> = jobs
-            .filter(|(_, j)| matches!(j.stage, Stage::Queued(_)))
-            .map(|(id, j)| (j.class, *id))
-            .collect();
-        queue.sort();
-        for (_, id) in queue {
-            let service = self.jobs.map.get(&id).map(|j| j.request.service.clone());
-            let host = service.and_then(|s| self.free_target(&s));
-            if let Some(host) = host {
-                self.start(id, host);
-            }
-        }
-    }
-
     pub(crate) fn forwarded(&mut self, id: ReqId, end: End) {
         let Some(Stage::Forwarded(to, hop)) = self.jobs.map.get(&id).map(|j| j.stage) else {
             return;
@@ -551,7 +379,7 @@
     }
 
     /// Settles what one attempt at a request came to.
-    fn attempt_ended(&mut self, id: ReqId, end: End) {
+    pub(crate) fn attempt_ended(&mut self, id: ReqId, end: End) {
         let Some(job) = self.jobs.map.get(&id) else {
             return;
         };
@@ -574,7 +402,7 @@
         }
     }
 
-    fn answered(&mut self, id: ReqId, answer: Answer) {
+    pub(crate) fn answered(&mut self, id: ReqId, answer: Answer) {
         self.counts.answered += 1;
         if let Some(key) = self.jobs.map.get(&id).and_then(|j| j.claim) {
             self.claims.set(self.now, key, Claim::Done(answer.clone()));
@@ -583,7 +411,7 @@
     }
 
     /// Gives up a request that no steward would run.
-    fn exhausted(&mut self, id: ReqId, after: Ms) {
+    pub(crate) fn exhausted(&mut self, id: ReqId, after: Ms) {
         let claim = self.jobs.map.get(&id).and_then(|j| j.claim);
         let Some(key) = claim else {
             return self.finish(id, End::Busy { after });
@@ -598,7 +426,7 @@
     }
 
     /// Replies, and gives the same reply to the copies that wait for this one.
-    fn finish(&mut self, id: ReqId, end: End) {
+    pub(crate) fn finish(&mut self, id: ReqId, end: End) {
         let Some(job) = self.jobs.map.remove(&id) else {
             return;
         };
@@ -613,7 +441,7 @@
         }
     }
 
-    fn count_end(&mut self, end: &End) {
+    pub(crate) fn count_end(&mut self, end: &End) {
         match end {
             End::Busy { .. } | End::NotRun { .. } => self.counts.refused += 1,
             End::Unknown { .. } | End::Lost => self.counts.unknown += 1,
@@ -633,7 +461,7 @@
         }
     }
 
-    fn tick_job(&mut self, id: ReqId) {
+    pub(crate) fn tick_job(&mut self, id: ReqId) {
         let now = self.now;
         let Some(job) = self.jobs.map.get(&id) else {
             return;
@@ -662,7 +490,7 @@
     }
 
     /// Replies at the deadline. The request stays until its end is known.
-    fn reply_if_late(&mut self, id: ReqId) {
+    pub(crate) fn reply_if_late(&mut self, id: ReqId) {
         let now = self.now;
         let Some(job) = self.jobs.map.get_mut(&id) else {
             return;
@@ -680,7 +508,7 @@
     }
 
     /// Cancels a request some time after its target's failure domain went out.
-    fn cut_if_out(&mut self, id: ReqId, host: HostId) {
+    pub(crate) fn cut_if_out(&mut self, id: ReqId, host: HostId) {
         let serves = self
             .catalogue
             .host(host)
@@ -702,27 +530,8 @@
             Some(_) => {}
         }
     }
-
-    /// Notes that a VM has told what it has in progress at targets guarded here.
-    pub(crate) fn told_busy(&mut self, from: Member) {
-        let Some(view) = self.cell.peer(from.vm).map(|p| p.last.view) else {
-            return;
-        };
-        for target in self.stewards.targets.values_mut() {
-            if view >= target.since {
-                target.awaited.remove(&from);
-            }
-        }
-    }
-
-    fn update_awaited(&mut self) {
-        let catalogue = &self.catalogue;
-        for target in self.stewards.targets.values_mut() {
-            target.awaited.retain(|m| !catalogue.is_gone(*m));
-        }
-    }
 }
 
-fn not_started(after: Ms) -> End {
+pub(crate) fn not_started(after: Ms) -> End {
     End::NotStarted { after, shed: false }
 }
--- a/burdocklever/src/status.rs
+++ b/burdocklever/src/status.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 use wire::{DomainId, Member, Version, View};
 
+use crate::event::Counts;
 use crate::msg::Load;
-use crate::node::{Counts, Node};
+use crate::node::Node;
 
 /// What one entry VM tells of itself.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/burdocklever/src/steward.rs
+++ b/burdocklever/src/steward.rs
@@ -10,8 +10,8 @@
 use wire::{HostId, Limits, Member, Number};
 
 use crate::bear::Bearing;
+use crate::event::ReqId;
 use crate::msg::{Count, FlowKey, Load};
-use crate::node::ReqId;
 use crate::time::Time;
 
 /// What a steward knows of one target.
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -5,9 +5,11 @@
 //! events with times, fakes for platform and targets, and no threads. The
 //! [`Oracle`] sees what reaches targets and callers, and knows the faults.
 
+mod cause;
 mod oracle;
 mod platform;
 mod step;
+mod transport;
 mod world;
 
 pub use oracle::{Oracle, Tally};
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod demo;
+mod deployment;
 mod fabric;
 mod measure;
 mod platform;
--- a/standin/src/measure.rs
+++ b/standin/src/measure.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use wire::{header, mark};
 
-use crate::demo::{standin, Running};
+use crate::deployment::{standin, Running};
 use crate::fabric::with_header;
 use crate::topology::Result;
 
