--- a/burdocklever/src/admit.rs
+++ b/burdocklever/src/admit.rs
@@ -10,7 +10,7 @@
 use crate::time::Ms;
 
 /// Age up to which another cell's loads are believed.
-const FAR_FRESH: Ms = Ms(5000);
+pub(crate) const FAR_FRESH: Ms = Ms(5000);
 /// A target of another cell is taken if it has fewer flows by one in this many,
 /// and by a few more.
 const FAR_MARGIN: u32 = 100;
@@ -97,12 +97,6 @@
 
     /// Targets of this cell with room, with their load in 1/1024 of what they bear.
     pub(crate) fn rooms(&self, service: &ServiceId, tried: &[Member]) -> Vec<Room> {
-        let own = self.loads();
-        let peers = self
-            .cell
-            .loads(self.now)
-            .map(|(member, load)| (member, *load));
-        let all = own.into_iter().map(|load| (self.me, load)).chain(peers);
         let fits = |host: HostId, steward: Member| {
             self.catalogue.host(host).is_some_and(|h| {
                 h.service == *service
@@ -112,6 +106,7 @@
         };
         // All owners see the same old loads, so each counts for all of them.
         let owners = self.cell.view().members.len() as u32;
+        let all = self.cell_loads().into_iter();
         all.filter(|(steward, load)| !tried.contains(steward) && fits(load.host, *steward))
             .filter_map(|(steward, load)| {
                 let recent = owners * self.flows.recent.get(&load.host).copied().unwrap_or(0);
--- a/burdocklever/src/flow.rs
+++ b/burdocklever/src/flow.rs
@@ -8,6 +8,7 @@
 
 use wire::{Address, HostId, Member, ServiceId};
 
+use crate::admit::FAR_FRESH;
 use crate::code::Code;
 use crate::event::{Action, Mark, Packet, PacketId};
 use crate::msg::{FlowKey, Load, Msg, PinBatch};
@@ -60,19 +61,34 @@
     pub(crate) at: Time,
 }
 
+/// A packet that another VM decides on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Passing {
+    pub(crate) packet: Packet,
+    pub(crate) hint: Option<HostId>,
+}
+
+/// Members of the view before, which may still own some flows.
+#[derive(Debug, Default)]
+pub(crate) struct Before {
+    pub(crate) members: Vec<Member>,
+    /// Until when that matters.
+    pub(crate) until: Time,
+}
+
 /// Packets that await a decision here or at another VM.
 #[derive(Debug, Default)]
 pub(crate) struct Flows {
     pub(crate) pending: BTreeMap<FlowKey, Pending>,
-    pub(crate) passed: BTreeMap<PacketId, (Packet, Option<HostId>)>,
+    pub(crate) passed: BTreeMap<PacketId, Passing>,
     /// Flows admitted since the steward last told its loads.
     pub(crate) recent: BTreeMap<HostId, u32>,
     /// Loads that stewards of other cells told last.
     pub(crate) far: BTreeMap<HostId, FarLoad>,
     /// Services whose flows may have changed cells, and until when that matters.
     pub(crate) unsure: BTreeMap<ServiceId, Time>,
-    /// Members of the view before, and until when their flows matter.
-    pub(crate) before: (Vec<Member>, Time),
+    /// The view before.
+    pub(crate) before: Before,
     /// Pins to send to the next-ranked member.
     pub(crate) backlog: Vec<FlowKey>,
     pub(crate) ended: Vec<FlowKey>,
@@ -87,10 +103,17 @@
     }
 
     /// Notes a new view: other members now own and keep some flows.
-    pub(crate) fn view_changed(&mut self, now: Time, before: Vec<Member>) {
-        self.before = (before, now + IDLE);
+    pub(crate) fn view_changed(&mut self, now: Time, members: Vec<Member>) {
+        let until = now + IDLE;
+        self.before = Before { members, until };
         self.refill = true;
     }
+
+    /// Forgets what does not matter any more.
+    pub(crate) fn expire(&mut self, now: Time) {
+        self.unsure.retain(|_, until| now < *until);
+        self.far.retain(|_, far| now.since(far.at) < FAR_FRESH);
+    }
 }
 
 impl Node {
@@ -175,7 +198,7 @@
         };
         match self.flow_owner(&service, packet.key) {
             Some(owner) if owner != self.me => {
-                self.flows.passed.insert(id, (packet, hint));
+                self.flows.passed.insert(id, Passing { packet, hint });
                 self.act(Action::Pass(id, packet, owner, hint));
             }
             _ => self.own_packet(id, packet, service, hint),
@@ -322,8 +345,9 @@
         if moved || !mine {
             return self.may_know(service, key);
         }
-        let (before, until) = &self.flows.before;
-        let owner = rank::top(key.0, before).filter(|m| *m != self.me && self.now < *until);
+        let before = &self.flows.before;
+        let owner = rank::top(key.0, &before.members);
+        let owner = owner.filter(|m| *m != self.me && self.now < before.until);
         match owner {
             None => BTreeSet::new(),
             Some(owner) if self.cell.is_alive(self.now, owner) => BTreeSet::from([owner]),
@@ -468,8 +492,8 @@
 
     pub(crate) fn pass_dropped(&mut self, id: PacketId, code: Code) {
         let passed = self.flows.passed.remove(&id);
-        if let Some((packet, _)) = passed.filter(|_| code == Code::FlowEnded) {
-            self.pins.remove(packet.key);
+        if let Some(passing) = passed.filter(|_| code == Code::FlowEnded) {
+            self.pins.remove(passing.packet.key);
         }
         self.counts.dropped += 1;
     }
@@ -477,7 +501,7 @@
     /// Tries the next VM after one could not be reached.
     pub(crate) fn pass_failed(&mut self, id: PacketId, to: Member) {
         self.suspect(to);
-        if let Some((packet, hint)) = self.flows.passed.remove(&id) {
+        if let Some(Passing { packet, hint }) = self.flows.passed.remove(&id) {
             self.route(id, packet, hint);
         }
     }
--- a/burdocklever/src/guard.rs
+++ b/burdocklever/src/guard.rs
@@ -5,11 +5,20 @@
 use wire::{HostId, Member};
 
 use crate::cell::LEASE;
+use crate::msg::Load;
 use crate::node::Node;
 use crate::steward::Target;
 use crate::time::Ms;
 
 impl Node {
+    /// Loads of all targets of this cell, as their stewards count them.
+    pub(crate) fn cell_loads(&self) -> Vec<(Member, Load)> {
+        let own = self.loads().into_iter().map(|load| (self.me, load));
+        let peers = self.cell.loads(self.now);
+        own.chain(peers.map(|(member, load)| (member, *load)))
+            .collect()
+    }
+
     /// Takes over the targets that the view makes this VM steward of.
     pub(crate) fn take_targets(&mut self) {
         let number = self.cell.view().number;
--- a/burdocklever/src/main.rs
+++ b/burdocklever/src/main.rs
@@ -78,26 +78,10 @@
     },
     /// Take a failure domain out of service; its open flows are given up
     #[bpaf(command)]
-    Out {
-        #[bpaf(external)]
-        common: Common,
-        #[bpaf(external, optional)]
-        wait: Option<Wait>,
-        /// Failure domain
-        #[bpaf(positional("DOMAIN"))]
-        domain: DomainId,
-    },
+    Out(#[bpaf(external(domain_change))] DomainChange),
     /// Bring a failure domain back into service
     #[bpaf(command)]
-    Back {
-        #[bpaf(external)]
-        common: Common,
-        #[bpaf(external, optional)]
-        wait: Option<Wait>,
-        /// Failure domain
-        #[bpaf(positional("DOMAIN"))]
-        domain: DomainId,
-    },
+    Back(#[bpaf(external(domain_change))] DomainChange),
     /// Status of VMs, targets and versions in force
     #[bpaf(command)]
     Status {
@@ -106,6 +90,17 @@
     },
 }
 
+#[derive(Debug, Clone, Bpaf)]
+struct DomainChange {
+    #[bpaf(external)]
+    common: Common,
+    #[bpaf(external, optional)]
+    wait: Option<Wait>,
+    /// Failure domain
+    #[bpaf(positional("DOMAIN"))]
+    domain: DomainId,
+}
+
 #[derive(Debug, Clone, Bpaf)]
 struct Common {
     /// Address of the platform's object API
@@ -182,16 +177,8 @@
             let version = operator.remove(&service).await.map_err(report)?;
             finish(&operator, &common, wait, version).await?;
         }
-        Command::Out {
-            common,
-            wait,
-            domain,
-        } => set_domain(&common, wait, &domain, DomainState::Out).await?,
-        Command::Back {
-            common,
-            wait,
-            domain,
-        } => set_domain(&common, wait, &domain, DomainState::In).await?,
+        Command::Out(change) => set_domain(change, DomainState::Out).await?,
+        Command::Back(change) => set_domain(change, DomainState::In).await?,
         Command::Status { common } => status(&open(&common).await?, common.json).await?,
     }
     Ok(ExitCode::SUCCESS)
@@ -224,15 +211,15 @@
     Operator::open(common.platform).await.map_err(report)
 }
 
-async fn set_domain(
-    common: &Common,
-    wait: Option<Wait>,
-    domain: &DomainId,
-    state: DomainState,
-) -> miette::Result<()> {
-    let operator = open(common).await?;
-    let version = operator.set_domain(domain, state).await.map_err(report)?;
-    finish(&operator, common, wait, version).await
+async fn set_domain(change: DomainChange, state: DomainState) -> miette::Result<()> {
+    let DomainChange {
+        common,
+        wait,
+        domain,
+    } = change;
+    let operator = open(&common).await?;
+    let version = operator.set_domain(&domain, state).await.map_err(report)?;
+    finish(&operator, &common, wait, version).await
 }
 
 /// Tells the version of a change, and waits for it if asked to.
--- a/burdocklever/src/node.rs
+++ b/burdocklever/src/node.rs
@@ -259,6 +259,7 @@
         let serves = |id| catalogue.host(id).is_some_and(|h| catalogue.serves(h));
         self.pins.sweep(self.now, serves);
         self.claims.expire(self.now);
+        self.flows.expire(self.now);
         let now = self.now;
         self.suspects.retain(|_, until| now < *until);
         for target in self.stewards.targets.values_mut() {
--- a/burdocklever/src/run.rs
+++ b/burdocklever/src/run.rs
@@ -54,14 +54,8 @@
 
     /// The member of this cell with the most free slots for a service.
     pub(crate) fn freest(&self, service: &ServiceId, stewards: &[(u64, Member)]) -> Option<Member> {
-        let own = self.loads();
-        let peers = self
-            .cell
-            .loads(self.now)
-            .map(|(member, load)| (member, *load));
-        let all = own.into_iter().map(|load| (self.me, load)).chain(peers);
         let mut free: BTreeMap<Member, u32> = BTreeMap::new();
-        for (member, load) in all {
+        for (member, load) in self.cell_loads() {
             let host = self.catalogue.host(load.host);
             if host.is_some_and(|h| h.service == *service) {
                 *free.entry(member).or_default() += load.slots.saturating_sub(load.busy);
--- a/fuzz/src/world.rs
+++ b/fuzz/src/world.rs
@@ -188,7 +188,11 @@
             }
         }
         // Every other case starts in a fleet that has long settled.
-        let opening = if seed % 2 == 0 { FRESH_MS } else { SETTLED_MS };
+        let opening = if seed.is_multiple_of(2) {
+            FRESH_MS
+        } else {
+            SETTLED_MS
+        };
         world.run_for(opening);
         world
     }
