Name the limits of a target in the benchmarks once

Cause: the same limits stood in the fleet and in the slopes; one could have been changed without the other. Change: one constant.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -20,6 +20,14 @@
 /// Longest time that a request may take.
 const DEADLINE_MS: u64 = 5000;
 
+/// Limits of a target of gh-south and mu-island.
+pub(crate) const LIMITS: Limits = Limits {
+    slots: 2,
+    conns: 2000,
+    cold_slots: 1,
+    cold_conns: 200,
+};
+
 /// A deployment: entry VMs and targets by failure domain.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
@@ -39,12 +47,7 @@
         Plan {
             vms: vec![3, 2, 2, 2],
             hosts: vec![4, 4, 3, 3],
-            limits: Limits {
-                slots: 2,
-                conns: 2000,
-                cold_slots: 1,
-                cold_conns: 200,
-            },
+            limits: LIMITS,
             once: true,
         }
     }
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -4,12 +4,12 @@
 
 use burdocklever::{Catalogue, Delta, Event, Mark, Node, Packet, PacketId, Pins, Time};
 use wire::{
-    Address, Body, HostId, Incarnation, Limits, Member, Number, Object, ObjectKey, State, Version,
-    View, Vm, VmId,
+    Address, Body, HostId, Incarnation, Member, Number, Object, ObjectKey, State, Version, View,
+    Vm, VmId,
 };
 
 use crate::fit::{line, median};
-use crate::fleet::{domain_id, encoded, flow_key, Fleet, Plan};
+use crate::fleet::{domain_id, encoded, flow_key, Fleet, Plan, LIMITS};
 use crate::output::{csv, plot, Result};
 
 /// Runs of each timed measurement; the median counts.
@@ -316,12 +316,7 @@
             owner: "desk".into(),
             class: wire::Class::Normal,
             address: Address::from(([10, 0, (i >> 8) as u8, i as u8], 9000)),
-            limits: Limits {
-                slots: 2,
-                conns: 2000,
-                cold_slots: 1,
-                cold_conns: 200,
-            },
+            limits: LIMITS,
             once: true,
             deadline_ms: 5000,
         };
