--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -230,6 +230,9 @@
             domain: domain_id(domain),
             address: Address::from(([10, 1, (port >> 15) as u8, 1], (port & 0x7fff) as u16 + 1)),
             state,
+            life: wire::Incarnation(0),
+            cold_ms: 0,
+            slots: 0,
         };
         self.write(ObjectKey::new("host", id), Body::Host(host));
     }
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -345,6 +345,9 @@
             domain: domain_id(i % domains),
             address: Address::from(([10, 1, (i >> 8) as u8, i as u8], 1)),
             state: State::Live,
+            life: wire::Incarnation(0),
+            cold_ms: 0,
+            slots: 0,
         };
         push(ObjectKey::new("host", host.id), Body::Host(host));
     }
--- a/burdocklever/src/catalogue.rs
+++ b/burdocklever/src/catalogue.rs
@@ -108,7 +108,7 @@
                 }
             }
             Body::View(_) => self.views.retain(|id, _| id.as_str() != &*key.name),
-            Body::Removed => {}
+            Body::Route(_) | Body::Pool(_) | Body::Removed => {}
         }
     }
 
@@ -144,7 +144,7 @@
                     self.views.insert(id, v.clone());
                 }
             }
-            Body::Removed => {}
+            Body::Route(_) | Body::Pool(_) | Body::Removed => {}
         }
     }
 
--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -84,6 +84,10 @@
     NoPlatform = 310, "platform not reached";
     /// The platform's answer makes no sense.
     BadPlatform = 311, "platform answered nonsense";
+    /// The platform has forgotten the changes since the revision that was asked for.
+    HistoryGone = 312, "platform forgot the changes since";
+    /// The platform refuses calls beyond its rate.
+    Throttled = 313, "platform refuses calls for now";
 }
 
 impl Code {
--- a/burdocklever/src/daemon.rs
+++ b/burdocklever/src/daemon.rs
@@ -36,7 +36,7 @@
 /// Time between looks at the platform while a peer watches it.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
 
-fn no_bind(error: impl std::fmt::Display) -> Error {
+pub(crate) fn no_bind(error: impl std::fmt::Display) -> Error {
     Error {
         code: Code::NoBind,
         detail: error.to_string().into(),
--- /dev/null
+++ b/burdocklever/src/gateway.rs
@@ -0,0 +1,491 @@
+//! The daemon of a gateway: an entry VM whose packets carry tokens.
+//!
+//! One thread receives packets and does nothing else, so that no packet waits
+//! for the reading of a large catalogue. All else runs on the caller's runtime.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime};
+
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::Router;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinSet;
+use wire::{Address, Body, HostId, Object, Version};
+
+use crate::code::Code;
+use crate::daemon::{no_bind, Error, Result};
+use crate::follow::{follow, News};
+use crate::gateway_settings::GatewaySettings;
+use crate::metrics::{Metrics, Sample};
+use crate::platform;
+use crate::segment::{Segment, Verdict};
+use crate::steer::{Bounds, Steering};
+use crate::store::{Feed, Store};
+use crate::time::{Ms, Time};
+use crate::token::Token;
+
+/// Largest packet in bytes: 32 of header and 1200 of data, with room to see
+/// that one is too long.
+const PACKET_MAX: usize = 2048;
+/// Time between looks at the settings file and sweeps of the flows.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+/// Part of a failure domain's time to leave, in percent, for which its flows go
+/// on. The rest is for the news to arrive.
+const LEAVE_PERCENT: u64 = 80;
+/// Time without a packet after which a stopping VM is out of rotation.
+const QUIET: Ms = Ms(700);
+/// Shortest stop: the fabric asks twice a second and believes the second miss.
+const STOP_MIN: Ms = Ms(1500);
+/// Part of the time before a stopping VM is killed, in percent, that it uses.
+const STOP_PERCENT: u64 = 80;
+
+/// Translation between packets as they travel and as decisions see them.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Reads a packet.
+    pub decode: fn(&[u8]) -> Option<Segment>,
+    /// Writes a packet for a target, marked with a token.
+    pub forward: fn(&[u8], HostId, Token, &mut Vec<u8>),
+    /// Writes a reset of a segment's flow. Gets this VM's address and returns
+    /// the one to send to.
+    pub reset: fn(&Segment, Address, &mut Vec<u8>) -> Address,
+}
+
+/// Opens the store that settings name.
+pub type OpenStore = Box<dyn Fn(&GatewaySettings) -> platform::Result<Store> + Send + Sync>;
+
+/// Counters since the start.
+#[derive(Debug, Default)]
+struct Counters {
+    forwarded: AtomicU64,
+    opened: AtomicU64,
+    refused: AtomicU64,
+    dropped: AtomicU64,
+    malformed: AtomicU64,
+    unsent: AtomicU64,
+    calls_failed: AtomicU64,
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+struct Shared {
+    steering: Mutex<Steering>,
+    socket: UdpSocket,
+    own: Address,
+    codec: Codec,
+    started: Instant,
+    stopping: AtomicBool,
+    /// Feeds that have been read once.
+    complete: Mutex<BTreeSet<Feed>>,
+    /// Feeds whose store does not answer.
+    lost: Mutex<BTreeSet<Feed>>,
+    /// Milliseconds since the start of the last packet.
+    last_packet: AtomicU64,
+    counters: Counters,
+    metrics: Metrics,
+}
+
+impl Shared {
+    fn now(&self) -> Time {
+        Time(self.started.elapsed().as_millis() as u64)
+    }
+
+    fn steering(&self) -> MutexGuard<'_, Steering> {
+        lock(&self.steering)
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && lock(&self.complete).len() == Feed::ALL.len()
+    }
+}
+
+/// A panic in one place must not stop packets everywhere.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// A running gateway.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    settings: GatewaySettings,
+    path: PathBuf,
+    changed: Option<SystemTime>,
+    open_store: OpenStore,
+    feeds: JoinSet<()>,
+}
+
+impl Gateway {
+    /// Binds all addresses and starts to serve with the settings at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoBind`] if an address cannot be bound, [`Code::NoPlatform`] if
+    /// the store's client cannot be set up.
+    pub async fn spawn(
+        path: &Path,
+        settings: GatewaySettings,
+        codec: Codec,
+        open_store: OpenStore,
+    ) -> Result<Gateway> {
+        let socket = UdpSocket::bind(settings.datagram).map_err(no_bind)?;
+        let steering = Steering::new(settings.domain.clone(), bounds(&settings));
+        let shared = Arc::new(Shared {
+            steering: Mutex::new(steering),
+            socket,
+            own: settings.datagram,
+            codec,
+            started: Instant::now(),
+            stopping: AtomicBool::new(false),
+            complete: Mutex::default(),
+            lost: Mutex::default(),
+            last_packet: AtomicU64::new(0),
+            counters: Counters::default(),
+            metrics: Metrics::open().map_err(no_bind)?,
+        });
+        let mut gateway = Gateway {
+            shared: shared.clone(),
+            changed: modified(path),
+            path: path.into(),
+            settings,
+            open_store,
+            feeds: JoinSet::new(),
+        };
+        gateway.follow_all()?;
+        let receiver = shared.clone();
+        std::thread::Builder::new()
+            .name("packets".into())
+            .spawn(move || receive(&receiver))
+            .map_err(no_bind)?;
+        serve(gateway.settings.ready, ready_app(shared.clone())).await?;
+        if let Some(address) = gateway.settings.metrics {
+            serve(address, metrics_app(shared)).await?;
+        }
+        log::info!(target: "daemon", vm = &*gateway.settings.name,
+            domain = gateway.settings.domain.as_str(); "started");
+        Ok(gateway)
+    }
+
+    fn follow_all(&mut self) -> Result<()> {
+        let store = (self.open_store)(&self.settings).map_err(|e| Error {
+            code: e.code,
+            detail: e.detail,
+        })?;
+        let store = Arc::new(store);
+        for feed in Feed::ALL {
+            let shared = self.shared.clone();
+            let clock = self.shared.clone();
+            let sink = move |news| learn(&shared, feed, news);
+            let now = move || clock.now();
+            self.feeds.spawn(follow(store.clone(), feed, now, sink));
+        }
+        Ok(())
+    }
+
+    /// Serves until SIGTERM or SIGINT, then stops: tells the fabric, forwards
+    /// what still arrives and returns once nothing does.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoBind`] if signals cannot be received.
+    pub async fn run(mut self) -> Result<()> {
+        let mut term = signal(SignalKind::terminate()).map_err(no_bind)?;
+        let mut int = signal(SignalKind::interrupt()).map_err(no_bind)?;
+        let mut hup = signal(SignalKind::hangup()).map_err(no_bind)?;
+        let mut house = tokio::time::interval(HOUSEKEEPING);
+        let mut suspects = 0;
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = int.recv() => break,
+                _ = hup.recv() => self.reload("signal"),
+                _ = house.tick() => {
+                    if modified(&self.path) != self.changed {
+                        self.reload("file changed");
+                    }
+                    suspects = keep_house(&self.shared, suspects);
+                }
+            }
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    async fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        log::info!(target: "daemon", flows = self.shared.steering().flows(); "stopping");
+        let begun = self.shared.now();
+        let latest = Ms(self.settings.stop.0 * STOP_PERCENT / 100);
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let now = self.shared.now();
+            let last = Time(self.shared.last_packet.load(Ordering::Relaxed));
+            let quiet = now.since(last) >= QUIET && now.since(begun) >= STOP_MIN;
+            if quiet || now.since(begun) >= latest {
+                log::info!(target: "daemon", quiet = quiet, after_ms = now.since(begun).0; "stopped");
+                return;
+            }
+        }
+    }
+
+    /// Reads the settings again. Faulty ones change nothing.
+    fn reload(&mut self, cause: &str) {
+        self.changed = modified(&self.path);
+        let fresh = match GatewaySettings::open(&self.path) {
+            Ok(fresh) => fresh,
+            Err(error) => {
+                log::error!(target: "daemon", cause = cause, error = error.to_string().as_str();
+                    "settings not reloaded, going on with the old ones");
+                return;
+            }
+        };
+        let old = std::mem::replace(&mut self.settings, fresh);
+        self.shared.steering().set_bounds(bounds(&self.settings));
+        let rebind = (old.datagram, old.ready, old.metrics)
+            != (
+                self.settings.datagram,
+                self.settings.ready,
+                self.settings.metrics,
+            );
+        if rebind {
+            log::warn!(target: "daemon", "listen addresses change only with a restart");
+        }
+        if old.platform != self.settings.platform {
+            self.feeds.abort_all();
+            if let Err(error) = self.follow_all() {
+                log::error!(target: "daemon", error = error.to_string().as_str();
+                    "store of the new settings not opened");
+            }
+        }
+        log::info!(target: "daemon", cause = cause, changed = old != self.settings;
+            "settings reloaded");
+    }
+}
+
+fn bounds(settings: &GatewaySettings) -> Bounds {
+    Bounds {
+        leave: Ms(settings.leave.0 * LEAVE_PERCENT / 100),
+        lag: settings.heartbeat,
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Forgets what is old, and tells when targets stop or start to answer.
+fn keep_house(shared: &Shared, suspects: usize) -> usize {
+    let mut steering = shared.steering();
+    steering.sweep(shared.now());
+    let found = steering.suspects();
+    let open = steering.open_targets();
+    drop(steering);
+    if found != suspects {
+        log::info!(target: "target", suspects = found, before = suspects, open = open;
+            "targets that do not answer");
+    }
+    found
+}
+
+async fn serve(address: Address, app: Router) -> Result<()> {
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .map_err(no_bind)?;
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, app).await {
+            log::error!(target: "daemon", error = error.to_string().as_str(); "HTTP server ended");
+        }
+    });
+    Ok(())
+}
+
+fn ready_app(shared: Arc<Shared>) -> Router {
+    let answer = move || {
+        let ready = shared.is_ready();
+        async move {
+            if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    };
+    Router::new().fallback(answer)
+}
+
+fn metrics_app(shared: Arc<Shared>) -> Router {
+    let answer = move || {
+        let text = shared.metrics.text(sample(&shared));
+        async move { text }
+    };
+    Router::new().route("/metrics", get(answer))
+}
+
+fn sample(shared: &Shared) -> Sample {
+    let read = |n: &AtomicU64| n.load(Ordering::Relaxed);
+    let c = &shared.counters;
+    let steering = shared.steering();
+    Sample {
+        counters: vec![
+            ("packets_forwarded", read(&c.forwarded)),
+            ("packets_dropped", read(&c.dropped)),
+            ("packets_malformed", read(&c.malformed)),
+            ("packets_unsent", read(&c.unsent)),
+            ("flows_opened", read(&c.opened)),
+            ("flows_reset", read(&c.refused)),
+            ("store_calls_failed", read(&c.calls_failed)),
+        ],
+        gauges: vec![
+            ("flows", steering.flows() as u64),
+            ("targets_open", steering.open_targets() as u64),
+            ("targets_suspect", steering.suspects() as u64),
+            ("ready", u64::from(shared.is_ready())),
+            ("feeds_lost", lock(&shared.lost).len() as u64),
+        ],
+    }
+}
+
+/// Takes in what following a feed told.
+fn learn(shared: &Shared, feed: Feed, news: News) {
+    let now = shared.now();
+    match news {
+        News::Changed(objects, through, skipped) => {
+            let mut steering = shared.steering();
+            for object in &objects {
+                steering.apply(now, object);
+            }
+            if feed == Feed::Routes {
+                steering.confirm(now);
+            }
+            drop(steering);
+            log_changes(feed, &objects, through, skipped);
+            if lock(&shared.complete).insert(feed) {
+                log::info!(target: "daemon", feed = feed.to_string().as_str(),
+                    objects = objects.len(), after_ms = now.0; "feed read");
+            }
+        }
+        News::Confirmed if feed == Feed::Routes => shared.steering().confirm(now),
+        News::Confirmed => {}
+        News::Lost(error) => {
+            count(&shared.counters.calls_failed);
+            if lock(&shared.lost).insert(feed) {
+                log::warn!(target: "store", feed = feed.to_string().as_str(),
+                    error = error.to_string().as_str();
+                    "store lost, going on with what is known");
+            }
+        }
+        News::Regained => {
+            if lock(&shared.lost).remove(&feed) {
+                log::info!(target: "store", feed = feed.to_string().as_str(); "store regained");
+            }
+        }
+    }
+}
+
+/// Changes that are logged one by one; more than these are only counted.
+const CHANGES_LOGGED: usize = 20;
+
+fn log_changes(feed: Feed, objects: &[Object], through: Version, skipped: usize) {
+    if skipped > 0 {
+        log::warn!(target: "catalogue", feed = feed.to_string().as_str(), skipped = skipped,
+            through = through.0; "entries that cannot be used");
+    }
+    if objects.len() > CHANGES_LOGGED {
+        log::info!(target: "catalogue", feed = feed.to_string().as_str(),
+            objects = objects.len(), through = through.0; "many changes");
+        return;
+    }
+    for object in objects {
+        let state = match &object.body {
+            Body::Host(host) => format!("{:?}", host.state),
+            Body::Domain { state } => format!("{state:?}"),
+            Body::Removed => "Removed".into(),
+            _ => "Set".into(),
+        };
+        log::info!(target: "catalogue", object = object.key.to_string().as_str(),
+            version = object.version.0, state = state.as_str(), through = through.0; "changed");
+    }
+}
+
+/// Receives packets for ever.
+fn receive(shared: &Shared) {
+    let mut buffer = [0; PACKET_MAX];
+    let mut out = Vec::with_capacity(PACKET_MAX);
+    loop {
+        let length = match shared.socket.recv_from(&mut buffer) {
+            Ok((length, _)) => length,
+            Err(error) => {
+                // An ICMP error of an earlier send; nothing was received.
+                log::debug!(target: "packet", error = error.to_string().as_str(); "not received");
+                continue;
+            }
+        };
+        let packet = &buffer[..length];
+        match (shared.codec.decode)(packet) {
+            Some(segment) => steer(shared, packet, &segment, &mut out),
+            None => count(&shared.counters.malformed),
+        }
+    }
+}
+
+fn steer(shared: &Shared, packet: &[u8], segment: &Segment, out: &mut Vec<u8>) {
+    let now = shared.now();
+    shared.last_packet.store(now.0, Ordering::Relaxed);
+    let mut steering = shared.steering();
+    let verdict = steering.packet(now, segment);
+    let opening = steering.take_opening();
+    drop(steering);
+    out.clear();
+    let to = match verdict {
+        Verdict::Forward {
+            host,
+            address,
+            token,
+        } => {
+            (shared.codec.forward)(packet, host, token, out);
+            count(&shared.counters.forwarded);
+            address
+        }
+        Verdict::Reset(code) => {
+            count(&shared.counters.refused);
+            log_end(segment, code, "flow reset");
+            (shared.codec.reset)(segment, shared.own, out)
+        }
+        Verdict::Drop(code) => {
+            count(&shared.counters.dropped);
+            log_end(segment, code, "packet dropped");
+            return;
+        }
+    };
+    send(shared, out, to);
+    if let Some(o) = opening {
+        count(&shared.counters.opened);
+        log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
+            near = o.near, far = o.far, suspects = o.suspects, copy = o.copy; "flow opened");
+    }
+}
+
+fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
+    if let Err(error) = shared.socket.send_to(packet, to) {
+        count(&shared.counters.unsent);
+        log::warn!(target: "packet", to = to.to_string().as_str(),
+            error = error.to_string().as_str(); "not sent");
+    }
+}
+
+/// Name of a flow in the log: both ends' addresses.
+fn flow_id(segment: &Segment) -> String {
+    format!("{}-{}", segment.caller, segment.service)
+}
+
+fn log_end(segment: &Segment, code: Code, event: &str) {
+    log::info!(target: "flow", flow = flow_id(segment).as_str(),
+        code = code.to_string().as_str(), reason = code.text(), stage = format!("{:?}", segment.mark).as_str(),
+        token = segment.token.to_string().as_str(); "{event}");
+}
--- /dev/null
+++ b/burdocklever/src/gateway_settings.rs
@@ -0,0 +1,113 @@
+//! Settings of a gateway: an entry VM whose packets carry tokens.
+
+use std::path::Path;
+
+use log::LevelFilter;
+use wire::{Address, DomainId};
+
+use crate::code::Code;
+use crate::source::{KeyRule, Result, Source};
+use crate::time::Ms;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Name of the VM in logs.
+    pub name: Box<str>,
+    /// Failure domain that it runs in.
+    pub domain: DomainId,
+    /// Where the fabric sends packets.
+    pub datagram: Address,
+    /// Where the fabric asks whether the VM takes packets.
+    pub ready: Address,
+    /// Where metrics are served; none if not given.
+    pub metrics: Option<Address>,
+    /// Address of the platform's store.
+    pub platform: Address,
+    /// Time within which a failure domain that goes out must be empty.
+    pub leave: Ms,
+    /// Time between two writes of a target's entry.
+    pub heartbeat: Ms,
+    /// Time after which a VM that was told to stop is killed.
+    pub stop: Ms,
+    /// Least severe log level.
+    pub level: LevelFilter,
+}
+
+/// The brief's "a few seconds".
+const LEAVE_DEFAULT: Ms = Ms(5000);
+/// The platform's usual interval.
+const HEARTBEAT_DEFAULT: Ms = Ms(1200);
+/// The platform's usual patience.
+const STOP_DEFAULT: Ms = Ms(6000);
+
+const RULES: &[KeyRule] = &[
+    KeyRule::new("vm", "name", true),
+    KeyRule::new("vm", "domain", true),
+    KeyRule::new("listen", "datagram", true),
+    KeyRule::new("listen", "ready", true),
+    KeyRule::new("listen", "metrics", false),
+    KeyRule::new("platform", "address", true),
+    KeyRule::new("limits", "leave", false),
+    KeyRule::new("limits", "heartbeat", false),
+    KeyRule::new("limits", "stop", false),
+    KeyRule::new("log", "level", false),
+];
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreadable`] if the file cannot be read or is no INI file,
+    /// [`Code::BadSettings`] with every wrong, missing, unknown or
+    /// contradictory key otherwise.
+    pub fn open(path: &Path) -> Result<GatewaySettings> {
+        read(Source::open(path)?)
+    }
+
+    /// Checks settings given as text; `name` is used in messages.
+    ///
+    /// # Errors
+    ///
+    /// As [`GatewaySettings::open`].
+    pub fn parse(name: &str, text: &str) -> Result<GatewaySettings> {
+        read(Source::parse(name, text)?)
+    }
+}
+
+fn read(mut source: Source) -> Result<GatewaySettings> {
+    source.check_names(RULES);
+    source.check_sections(RULES);
+    let settings = values(&mut source);
+    source.finish(Code::BadSettings, settings)
+}
+
+fn values(source: &mut Source) -> Option<GatewaySettings> {
+    let time = "a time such as 30s";
+    let name = source.text("vm", "name");
+    let domain = source.value("vm", "domain", "a name of a-z, 0-9 and -");
+    let datagram = source.address("listen", "datagram");
+    let ready = source.address("listen", "ready");
+    let metrics = source.address("listen", "metrics");
+    let platform = source.address("platform", "address");
+    let leave = source.value("limits", "leave", time);
+    let heartbeat = source.value("limits", "heartbeat", time);
+    let stop = source.value("limits", "stop", time);
+    let level = source.value("log", "level", "off, error, warn, info, debug or trace");
+    if ready.is_some() && ready == metrics {
+        source.fault("listen", "metrics", "same address as `ready`");
+    }
+    Some(GatewaySettings {
+        name: name?,
+        domain: domain?,
+        datagram: datagram?,
+        ready: ready?,
+        metrics,
+        platform: platform?,
+        leave: leave.unwrap_or(LEAVE_DEFAULT),
+        heartbeat: heartbeat.unwrap_or(HEARTBEAT_DEFAULT),
+        stop: stop.unwrap_or(STOP_DEFAULT),
+        level: level.unwrap_or(LevelFilter::Info),
+    })
+}
--- a/burdocklever/src/logs.rs
+++ b/burdocklever/src/logs.rs
@@ -10,7 +10,7 @@
 /// Time, level, part and sentence.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f)} {l} {t}: {m}{n}";
 /// Libraries underneath that are quieter than the rest.
-const LIBRARIES: &[&str] = &["hyper", "hyper_util", "reqwest", "axum", "opentelemetry"];
+pub(crate) const LIBRARIES: &[&str] = &["hyper", "hyper_util", "reqwest", "axum", "opentelemetry"];
 /// Libraries whose errors this system reports itself.
 const SILENT: &[&str] = &["tarpc", "tracing"];
 
--- a/burdocklever/src/metrics.rs
+++ b/burdocklever/src/metrics.rs
@@ -12,9 +12,9 @@
 
 /// Values that the instruments report.
 #[derive(Debug, Clone, Default)]
-struct Sample {
-    counters: Vec<(&'static str, u64)>,
-    gauges: Vec<(&'static str, u64)>,
+pub(crate) struct Sample {
+    pub(crate) counters: Vec<(&'static str, u64)>,
+    pub(crate) gauges: Vec<(&'static str, u64)>,
 }
 
 /// Instruments of one entry VM.
@@ -70,9 +70,7 @@
     }
 
     /// The current values as text.
-    pub(crate) fn text(&self, driver: &Driver) -> String {
-        let control = driver.control_bytes();
-        let sample = driver.read(|node| sample(node, control));
+    pub(crate) fn text(&self, sample: Sample) -> String {
         *self.sample.lock().unwrap_or_else(|e| e.into_inner()) = sample;
         let mut text = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
@@ -83,7 +81,13 @@
     }
 }
 
-fn sample(node: &Node, control: u64) -> Sample {
+/// Values of a node.
+pub(crate) fn sample(driver: &Driver) -> Sample {
+    let control = driver.control_bytes();
+    driver.read(|node| node_sample(node, control))
+}
+
+fn node_sample(node: &Node, control: u64) -> Sample {
     let c = node.counts();
     Sample {
         counters: vec![
--- a/burdocklever/src/platform.rs
+++ b/burdocklever/src/platform.rs
@@ -218,7 +218,7 @@
 }
 
 /// A share of 1 that differs from call to call.
-fn jitter() -> f64 {
+pub(crate) fn jitter() -> f64 {
     (nonce() >> 11) as f64 / (1u64 << 53) as f64
 }
 
--- a/burdocklever/src/settings.rs
+++ b/burdocklever/src/settings.rs
@@ -42,27 +42,19 @@
 const STOP_DEFAULT: Ms = Ms(30_000);
 
 const RULES: &[KeyRule] = &[
-    rule("vm", "id", true),
-    rule("vm", "domain", true),
-    rule("listen", "datagram", true),
-    rule("listen", "http", true),
-    rule("listen", "peer", true),
-    rule("platform", "address", true),
-    rule("platform", "calls-per-second", false),
-    rule("stop", "timeout", false),
-    rule("log", "level", false),
-    rule("log", "file", false),
-    rule("trace", "file", false),
+    KeyRule::new("vm", "id", true),
+    KeyRule::new("vm", "domain", true),
+    KeyRule::new("listen", "datagram", true),
+    KeyRule::new("listen", "http", true),
+    KeyRule::new("listen", "peer", true),
+    KeyRule::new("platform", "address", true),
+    KeyRule::new("platform", "calls-per-second", false),
+    KeyRule::new("stop", "timeout", false),
+    KeyRule::new("log", "level", false),
+    KeyRule::new("log", "file", false),
+    KeyRule::new("trace", "file", false),
 ];
 
-const fn rule(section: &'static str, key: &'static str, required: bool) -> KeyRule {
-    KeyRule {
-        section,
-        key,
-        required,
-    }
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
--- a/burdocklever/src/source.rs
+++ b/burdocklever/src/source.rs
@@ -73,6 +73,16 @@
     pub(crate) required: bool,
 }
 
+impl KeyRule {
+    pub(crate) const fn new(section: &'static str, key: &'static str, required: bool) -> KeyRule {
+        KeyRule {
+            section,
+            key,
+            required,
+        }
+    }
+}
+
 /// An INI file whose values are read one by one while faults are collected.
 #[derive(Debug)]
 pub(crate) struct Source {
--- /dev/null
+++ b/burdocklever/src/steer.rs
@@ -0,0 +1,660 @@
+//! Steering: where a packet that carries a token goes.
+//!
+//! A later packet names its target by its token, so it needs no state of its
+//! flow. Only an opening packet needs a decision. What a VM remembers of flows
+//! is soft: it serves to judge the targets and may be lost at any time.
+
+use std::collections::hash_map::Entry;
+use std::collections::HashMap;
+
+use wire::{
+    Address, Body, DomainId, DomainState, HostId, Incarnation, Object, Pool, ServiceId, State,
+};
+
+use crate::code::Code;
+use crate::msg::FlowKey;
+use crate::place::{self, Candidate, Choice};
+use crate::rank;
+use crate::segment::{Segment, Stage, Verdict};
+use crate::signal::Signals;
+use crate::time::{Ms, Time};
+use crate::token::Token;
+
+/// Flows remembered at most; 64 bytes each, so some 20 MB.
+const FLOWS_MAX: usize = 300_000;
+/// Time after which a flow without packets is forgotten. Callers end a request
+/// after at most 10 s.
+const FLOW_IDLE: Ms = Ms(12_000);
+/// Time after which a target that is gone from the list is forgotten: no flow
+/// lives longer.
+const TARGET_KEPT: Ms = Ms(120_000);
+/// Age of the catalogue up to which "no such service" is certain.
+const FRESH: Ms = Ms(2000);
+/// Targets that the copies of one opening packet may go to.
+const TRIES: usize = 3;
+
+/// Times that the deployment sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time for which flows into a failure domain that goes out may go on.
+    pub leave: Ms,
+    /// Longest time until the list shows what a target wrote.
+    pub lag: Ms,
+}
+
+/// An opening packet's decision, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Opening {
+    /// The chosen target.
+    pub host: HostId,
+    /// Its load, in sixteenths of a flow a slot.
+    pub load: u32,
+    /// Targets in this failure domain that had room.
+    pub near: u32,
+    /// Targets elsewhere that had room.
+    pub far: u32,
+    /// Targets that seemed not to answer.
+    pub suspects: u32,
+    /// Copies of the packet sent before.
+    pub copy: u32,
+}
+
+#[derive(Debug)]
+struct Target {
+    host: HostId,
+    life: Incarnation,
+    address: Address,
+    domain: usize,
+    service: usize,
+    token: Token,
+    slots: u32,
+    state: State,
+    /// When it left the list.
+    left: Option<Time>,
+    /// End of its cold start.
+    cold: Time,
+    signals: Signals,
+}
+
+#[derive(Debug)]
+struct Service {
+    id: ServiceId,
+    pool: Option<Pool>,
+    targets: Vec<usize>,
+    tokens: HashMap<Token, usize>,
+}
+
+#[derive(Debug)]
+struct Domain {
+    id: DomainId,
+    /// Since when it is out of service.
+    out: Option<Time>,
+}
+
+#[derive(Debug)]
+struct Route {
+    name: Box<str>,
+    shares: Vec<(usize, u32)>,
+    /// Services that any version of the route has led to.
+    allowed: Vec<usize>,
+    goal: Ms,
+    removed: bool,
+}
+
+/// What is remembered of a flow.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    target: usize,
+    seen: Time,
+    /// Time of the request that has no answer yet.
+    asked: Option<Time>,
+    /// Number after the last byte that the caller sent.
+    sent: u32,
+    /// Next byte that the caller expects.
+    acked: u32,
+    stage: Stage,
+    tried: [usize; TRIES],
+}
+
+/// No target.
+const NOWHERE: usize = usize::MAX;
+
+/// Decisions of one VM on packets that carry tokens.
+#[derive(Debug)]
+pub struct Steering {
+    home: DomainId,
+    bounds: Bounds,
+    now: Time,
+    confirmed: Option<Time>,
+    routes: HashMap<Address, Route>,
+    services: Vec<Service>,
+    domains: Vec<Domain>,
+    targets: Vec<Target>,
+    hosts: HashMap<HostId, usize>,
+    flows: HashMap<FlowKey, Flow>,
+    opening: Option<Opening>,
+}
+
+impl Steering {
+    /// A VM of failure domain `home` that knows nothing yet.
+    pub fn new(home: DomainId, bounds: Bounds) -> Steering {
+        Steering {
+            home,
+            bounds,
+            now: Time(0),
+            confirmed: None,
+            routes: HashMap::new(),
+            services: Vec::new(),
+            domains: Vec::new(),
+            targets: Vec::new(),
+            hosts: HashMap::new(),
+            flows: HashMap::new(),
+            opening: None,
+        }
+    }
+
+    /// Sets the deployment's times.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// Takes in that the routes known now were in force at `now`.
+    pub fn confirm(&mut self, now: Time) {
+        self.confirmed = Some(self.confirmed.map_or(now, |t| t.max(now)));
+    }
+
+    /// Flows remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Targets that may get new flows.
+    pub fn open_targets(&self) -> usize {
+        let open = |t: &&Target| self.takes_new(t);
+        self.targets.iter().filter(open).count()
+    }
+
+    /// Targets that seem not to answer.
+    pub fn suspects(&self) -> usize {
+        let listed = self.targets.iter().filter(|t| t.left.is_none());
+        listed.filter(|t| t.signals.is_suspect(self.now)).count()
+    }
+
+    /// The decision on the last opening packet that was forwarded.
+    pub fn take_opening(&mut self) -> Option<Opening> {
+        self.opening.take()
+    }
+
+    /// Takes in a changed object of the catalogue.
+    pub fn apply(&mut self, now: Time, object: &Object) {
+        self.now = self.now.max(now);
+        match (&*object.key.kind, &object.body) {
+            ("route", Body::Route(route)) => self.set_route(&object.key.name, route),
+            ("route", Body::Removed) => self.remove_route(&object.key.name),
+            ("pool", Body::Pool(pool)) => {
+                if let Ok(id) = object.key.name.parse() {
+                    let service = self.service(&id);
+                    self.services[service].pool = Some(pool.clone());
+                }
+            }
+            ("domain", Body::Domain { state }) => self.set_domain(&object.key.name, *state),
+            ("domain", Body::Removed) => self.set_domain(&object.key.name, DomainState::In),
+            ("host", Body::Host(host)) => self.set_target(host),
+            ("host", Body::Removed) => {
+                let id = object.key.name.parse().ok();
+                if let Some(i) = id.and_then(|id| self.hosts.get(&id)) {
+                    self.targets[*i].left = Some(self.now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn set_route(&mut self, name: &str, route: &wire::Route) {
+        self.remove_route(name);
+        let shares: Vec<(usize, u32)> = route
+            .shares
+            .iter()
+            .map(|s| (self.service(&s.service), s.weight))
+            .collect();
+        let known = self.routes.remove(&route.address);
+        let mut allowed = known.map_or_else(Vec::new, |r| r.allowed);
+        for (service, _) in &shares {
+            if !allowed.contains(service) {
+                allowed.push(*service);
+            }
+        }
+        let route_state = Route {
+            name: name.into(),
+            shares,
+            allowed,
+            goal: Ms(route.goal_ms),
+            removed: false,
+        };
+        self.routes.insert(route.address, route_state);
+    }
+
+    fn remove_route(&mut self, name: &str) {
+        for route in self.routes.values_mut().filter(|r| *r.name == *name) {
+            route.removed = true;
+        }
+    }
+
+    fn set_domain(&mut self, name: &str, state: DomainState) {
+        let Ok(id) = name.parse() else {
+            return;
+        };
+        let domain = self.domain(&id);
+        let was = self.domains[domain].out;
+        match state {
+            DomainState::Out => {
+                self.domains[domain].out.get_or_insert(self.now);
+            }
+            DomainState::In => self.domains[domain].out = None,
+        }
+        if was.is_some() && state == DomainState::In {
+            self.chill(domain);
+        }
+    }
+
+    /// Treats a returning failure domain's targets as cold: they may have
+    /// started again while it was out, and the list may not show it yet.
+    fn chill(&mut self, domain: usize) {
+        for target in self.targets.iter_mut().filter(|t| t.domain == domain) {
+            let pool = self.services[target.service].pool.as_ref();
+            let cold = Ms(pool.map_or(0, |p| p.cold_ms));
+            if cold > Ms(0) {
+                target.cold = target.cold.max(self.now + self.bounds.lag + cold);
+            }
+        }
+    }
+
+    fn set_target(&mut self, host: &wire::Host) {
+        let service = self.service(&host.service);
+        let domain = self.domain(&host.domain);
+        let index = match self.hosts.get(&host.id) {
+            Some(i) => *i,
+            None => self.add_target(host, service, domain),
+        };
+        let target = &mut self.targets[index];
+        if target.life != host.life {
+            target.signals = Signals::default();
+            target.life = host.life;
+        }
+        target.address = host.address;
+        target.domain = domain;
+        target.slots = host.slots;
+        target.state = host.state;
+        target.left = None;
+        if host.cold_ms > 0 {
+            target.cold = self.now + Ms(host.cold_ms) + self.bounds.lag;
+        }
+        let token = Token::of(host.id, host.life);
+        target.token = token;
+        let old = std::mem::replace(&mut target.service, service);
+        if old != service {
+            self.services[old].targets.retain(|i| *i != index);
+            self.services[service].targets.push(index);
+        }
+        self.claim_token(service, token, index);
+    }
+
+    /// Of two targets with one token, the older life keeps it: its flows were
+    /// there first. The other gets no flows.
+    fn claim_token(&mut self, service: usize, token: Token, index: usize) {
+        let rank = |i: usize| (self.targets[i].life, self.targets[i].host);
+        let wins = match self.services[service].tokens.get(&token) {
+            Some(other) if *other != index => {
+                let held = self.targets[*other].token == token;
+                !held || rank(index) < rank(*other)
+            }
+            _ => true,
+        };
+        if wins {
+            self.services[service].tokens.insert(token, index);
+        }
+    }
+
+    fn add_target(&mut self, host: &wire::Host, service: usize, domain: usize) -> usize {
+        let index = self.targets.len();
+        self.targets.push(Target {
+            host: host.id,
+            life: host.life,
+            address: host.address,
+            domain,
+            service,
+            token: Token::of(host.id, host.life),
+            slots: host.slots,
+            state: host.state,
+            left: None,
+            cold: Time(0),
+            signals: Signals::default(),
+        });
+        self.hosts.insert(host.id, index);
+        self.services[service].targets.push(index);
+        index
+    }
+
+    fn service(&mut self, id: &ServiceId) -> usize {
+        if let Some(i) = self.services.iter().position(|s| s.id == *id) {
+            return i;
+        }
+        self.services.push(Service {
+            id: id.clone(),
+            pool: None,
+            targets: Vec::new(),
+            tokens: HashMap::new(),
+        });
+        self.services.len() - 1
+    }
+
+    fn domain(&mut self, id: &DomainId) -> usize {
+        if let Some(i) = self.domains.iter().position(|d| d.id == *id) {
+            return i;
+        }
+        self.domains.push(Domain {
+            id: id.clone(),
+            out: None,
+        });
+        self.domains.len() - 1
+    }
+
+    /// Decides on a caller's packet.
+    pub fn packet(&mut self, now: Time, segment: &Segment) -> Verdict {
+        self.now = self.now.max(now);
+        let Some(route) = self.routes.get(&segment.service) else {
+            return self.unknown_route(segment);
+        };
+        if route.removed {
+            return Verdict::Reset(Code::NoService);
+        }
+        match segment.mark {
+            Stage::Open => self.open(segment),
+            Stage::Within | Stage::Close => self.later(segment),
+        }
+    }
+
+    fn unknown_route(&self, segment: &Segment) -> Verdict {
+        let fresh = |at: Time| self.now.since(at) < FRESH;
+        let code = match self.confirmed {
+            None => Code::NotReady,
+            Some(_) => Code::NoService,
+        };
+        if segment.mark == Stage::Open && self.confirmed.is_some_and(fresh) {
+            Verdict::Reset(code)
+        } else {
+            Verdict::Drop(code)
+        }
+    }
+
+    fn open(&mut self, segment: &Segment) -> Verdict {
+        let key = segment.key();
+        let known = self.flows.get(&key).copied();
+        let repeat = known.filter(|f| f.stage == Stage::Open && f.sent == segment.seq);
+        let tried = repeat.map_or([NOWHERE; TRIES], |f| f.tried);
+        if let Some(flow) = repeat {
+            // The copy shows that the last choice has not answered yet.
+            self.targets[flow.target].signals.repeated(self.now);
+        }
+        let Some(choice) = self.choose(segment, key, &tried) else {
+            return Verdict::Reset(Code::NoRoom);
+        };
+        self.forget(key);
+        let copies = tried.iter().filter(|t| **t != NOWHERE).count();
+        let mut flow = Flow {
+            target: choice.target,
+            seen: self.now,
+            asked: None,
+            sent: segment.seq,
+            acked: 0,
+            stage: Stage::Open,
+            tried,
+        };
+        flow.tried[copies.min(TRIES - 1)] = choice.target;
+        self.remember(key, flow);
+        let target = &mut self.targets[choice.target];
+        target.signals.opened(self.now);
+        self.opening = Some(Opening {
+            host: target.host,
+            load: choice.load,
+            near: choice.near,
+            far: choice.far,
+            suspects: choice.suspects,
+            copy: segment.ack,
+        });
+        Verdict::Forward {
+            host: target.host,
+            address: target.address,
+            token: target.token,
+        }
+    }
+
+    fn choose(&self, segment: &Segment, key: FlowKey, tried: &[usize]) -> Option<Choice> {
+        let route = self.routes.get(&segment.service)?;
+        let shares: Vec<(usize, u64, u32)> = route
+            .shares
+            .iter()
+            .map(|(service, weight)| (*service, *service as u64, *weight))
+            .collect();
+        let services = rank::weighted(key.0, &shares);
+        services.into_iter().find_map(|service| {
+            let list = self.candidates(service, key, tried);
+            place::choose(&list, route.goal)
+        })
+    }
+
+    fn candidates(&self, service: usize, key: FlowKey, tried: &[usize]) -> Vec<Candidate> {
+        let service = &self.services[service];
+        let conns = service.pool.as_ref().map_or(u32::MAX, |p| p.conns);
+        let candidate = |i: &usize| {
+            let target = &self.targets[*i];
+            let signals = &target.signals;
+            let suspect = signals.is_suspect(self.now) && !signals.is_due(self.now);
+            let open = self.takes_new(target)
+                && service.tokens.get(&target.token) == Some(i)
+                && signals.flows < conns;
+            open.then(|| Candidate {
+                target: *i,
+                near: self.domains[target.domain].id == self.home,
+                suspect: suspect || tried.contains(i),
+                load: place::load(signals.flows, signals.waiting, target.slots),
+                answer: signals.answer_time(),
+                tie: rank::score(key.0, target.host.0),
+            })
+        };
+        service.targets.iter().filter_map(candidate).collect()
+    }
+
+    /// Whether a target may get new flows. A cold one gets none: what it bears
+    /// is a sum over all VMs, and some other target nearly always has room.
+    fn takes_new(&self, target: &Target) -> bool {
+        target.state == State::Live
+            && target.left.is_none()
+            && target.cold <= self.now
+            && self.domains[target.domain].out.is_none()
+    }
+
+    fn later(&mut self, segment: &Segment) -> Verdict {
+        let Some(index) = self.target_of(segment) else {
+            return Verdict::Drop(Code::NoFlow);
+        };
+        let domain = &self.domains[self.targets[index].domain];
+        let left = |at: Time| self.now.since(at) >= self.bounds.leave;
+        if domain.out.is_some_and(left) {
+            self.forget(segment.key());
+            return Verdict::Drop(Code::FlowEnded);
+        }
+        self.watch(segment, index);
+        let target = &self.targets[index];
+        Verdict::Forward {
+            host: target.host,
+            address: target.address,
+            token: target.token,
+        }
+    }
+
+    /// The target that a later packet names. Tokens are looked up among the
+    /// route's services first. A flow may be older than what this VM knows of
+    /// the route, so a token that names one target of all services counts too.
+    fn target_of(&self, segment: &Segment) -> Option<usize> {
+        let route = self.routes.get(&segment.service)?;
+        let find = |service: &Service| service.tokens.get(&segment.token).copied();
+        let mut allowed = route.allowed.iter().map(|i| &self.services[*i]);
+        if let Some(target) = allowed.find_map(find) {
+            return Some(target);
+        }
+        let mut others = self.services.iter().filter_map(find);
+        let target = others.next()?;
+        others.next().is_none().then_some(target)
+    }
+
+    /// Learns from a later packet how its target does.
+    fn watch(&mut self, segment: &Segment, index: usize) {
+        let key = segment.key();
+        let now = self.now;
+        let known = self.flows.get(&key).filter(|f| f.target == index).copied();
+        if known.is_none() {
+            self.forget(key);
+            self.remember(key, adopt(now, segment, index));
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let signals = &mut self.targets[index].signals;
+        flow.seen = now;
+        if flow.stage == Stage::Open {
+            signals.heard(now);
+            flow.stage = Stage::Within;
+            flow.acked = segment.ack;
+            flow.sent = segment.seq;
+        } else if is_after(segment.ack, flow.acked) {
+            signals.heard(now);
+            flow.acked = segment.ack;
+            if let Some(at) = flow.asked.take() {
+                signals.answered(now.since(at));
+                signals.waiting = signals.waiting.saturating_sub(1);
+            }
+        }
+        let end = segment.seq.wrapping_add(segment.len);
+        if segment.len > 0 && known.is_some() {
+            if is_after(end, flow.sent) {
+                if flow.asked.is_none() && flow.stage == Stage::Within {
+                    flow.asked = Some(now);
+                    signals.waiting += 1;
+                }
+            } else {
+                signals.repeated(now);
+            }
+        }
+        if is_after(end, flow.sent) {
+            flow.sent = end;
+        }
+        if segment.mark == Stage::Close && flow.stage != Stage::Close {
+            flow.stage = Stage::Close;
+            signals.flows = signals.flows.saturating_sub(1);
+            if flow.asked.take().is_some() {
+                signals.waiting = signals.waiting.saturating_sub(1);
+            }
+        }
+    }
+
+    fn remember(&mut self, key: FlowKey, flow: Flow) {
+        if self.flows.len() >= FLOWS_MAX {
+            return;
+        }
+        if let Entry::Vacant(slot) = self.flows.entry(key) {
+            slot.insert(flow);
+            if flow.stage != Stage::Close {
+                self.targets[flow.target].signals.flows += 1;
+            }
+        }
+    }
+
+    fn forget(&mut self, key: FlowKey) {
+        if let Some(flow) = self.flows.remove(&key) {
+            release(&mut self.targets[flow.target].signals, &flow);
+        }
+    }
+
+    /// Forgets flows without packets and targets that are long gone.
+    pub fn sweep(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let targets = &mut self.targets;
+        self.flows.retain(|_, flow| {
+            let kept = now.since(flow.seen) < FLOW_IDLE;
+            if !kept {
+                release(&mut targets[flow.target].signals, flow);
+            }
+            kept
+        });
+        let gone = |t: &Target| t.left.is_some_and(|at| now.since(at) >= TARGET_KEPT);
+        if self.targets.iter().any(gone) {
+            self.drop_targets(gone);
+        }
+    }
+
+    /// Removes targets and renumbers the others.
+    fn drop_targets(&mut self, gone: impl Fn(&Target) -> bool) {
+        let mut moved = vec![NOWHERE; self.targets.len()];
+        let mut next = 0;
+        for (i, target) in self.targets.iter().enumerate() {
+            if !gone(target) {
+                moved[i] = next;
+                next += 1;
+            }
+        }
+        self.targets.retain(|t| !gone(t));
+        self.hosts.retain(|_, i| {
+            *i = moved[*i];
+            *i != NOWHERE
+        });
+        for service in &mut self.services {
+            service.targets.retain_mut(|i| {
+                *i = moved[*i];
+                *i != NOWHERE
+            });
+            service.tokens.retain(|_, i| {
+                *i = moved[*i];
+                *i != NOWHERE
+            });
+        }
+        self.flows.retain(|_, flow| {
+            flow.target = moved[flow.target];
+            for tried in flow.tried.iter_mut().filter(|i| **i != NOWHERE) {
+                *tried = moved[*tried];
+            }
+            flow.target != NOWHERE
+        });
+    }
+}
+
+/// A flow that another VM opened.
+fn adopt(now: Time, segment: &Segment, target: usize) -> Flow {
+    Flow {
+        target,
+        seen: now,
+        asked: None,
+        sent: segment.seq.wrapping_add(segment.len),
+        acked: segment.ack,
+        stage: match segment.mark {
+            Stage::Close => Stage::Close,
+            _ => Stage::Within,
+        },
+        tried: [NOWHERE; TRIES],
+    }
+}
+
+fn release(signals: &mut Signals, flow: &Flow) {
+    if flow.stage != Stage::Close {
+        signals.flows = signals.flows.saturating_sub(1);
+    }
+    if flow.asked.is_some() {
+        signals.waiting = signals.waiting.saturating_sub(1);
+    }
+}
+
+/// Whether `a` lies after `b` on the circle of sequence numbers.
+fn is_after(a: u32, b: u32) -> bool {
+    (a.wrapping_sub(b) as i32) > 0
+}
--- a/burdocklever/src/time.rs
+++ b/burdocklever/src/time.rs
@@ -66,13 +66,18 @@
             expected: "a time such as 250ms or 4s",
             found: s.into(),
         };
-        if let Some(n) = s.strip_suffix("ms") {
-            return n.parse().map(Ms).map_err(|_| fail());
+        let (number, unit) = match s.strip_suffix("ms") {
+            Some(number) => (number, 1),
+            None => (s.strip_suffix('s').ok_or_else(fail)?, 1000),
+        };
+        if let Ok(whole) = number.parse::<u64>() {
+            return whole.checked_mul(unit).map(Ms).ok_or_else(fail);
+        }
+        let part: f64 = number.parse().map_err(|_| fail())?;
+        let ms = part * unit as f64;
+        if !part.is_finite() || ms < 0.0 || ms >= u64::MAX as f64 {
+            return Err(fail());
         }
-        let n: u64 = s
-            .strip_suffix('s')
-            .and_then(|n| n.parse().ok())
-            .ok_or_else(fail)?;
-        n.checked_mul(1000).map(Ms).ok_or_else(fail)
+        Ok(Ms(ms.round() as u64))
     }
 }
--- /dev/null
+++ b/burdocklever/src/token.rs
@@ -0,0 +1,43 @@
+//! Tokens: what an end of a flow gives back with every packet.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use wire::{HostId, IdError, Incarnation};
+
+use crate::rank;
+
+/// Names a target within its service. Both ends of a flow repeat it, so any
+/// VM can send a later packet to the flow's target without knowing the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Token(pub u32);
+
+impl Token {
+    /// Carried by packets that no VM has marked yet.
+    pub const NONE: Token = Token(0);
+
+    /// Token of one life of a target; never [`Token::NONE`].
+    pub fn of(host: HostId, life: Incarnation) -> Token {
+        let hash = rank::score(life.0, host.0);
+        Token(((hash >> 32) as u32).max(1))
+    }
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for Token {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<Token, IdError> {
+        u32::from_str_radix(s, 16).map(Token).map_err(|_| IdError {
+            expected: "a token of 8 hexadecimal digits",
+            found: s.into(),
+        })
+    }
+}
--- /dev/null
+++ b/burdocklever/tests/steer.rs
@@ -0,0 +1,301 @@
+//! Steering: each fault that a run has shown, replayed without a network.
+
+use burdocklever::{Bounds, Code, Ms, Segment, Stage, Steering, Time, Token, Verdict};
+use wire::{
+    Address, Body, DomainState, Host, HostId, Incarnation, Object, ObjectKey, Pool, Route, Share,
+    State, Version,
+};
+
+const ROUTE: &str = "198.18.0.1:443";
+
+struct World {
+    steering: Steering,
+    now: Time,
+    version: u64,
+}
+
+impl World {
+    /// A VM in `accra` with one route to the service `ledger`.
+    fn new() -> World {
+        let bounds = Bounds {
+            leave: Ms(4000),
+            lag: Ms(1000),
+        };
+        let mut world = World {
+            steering: Steering::new("accra".parse().unwrap(), bounds),
+            now: Time(0),
+            version: 0,
+        };
+        world.pool("ledger");
+        world.route("main", &["ledger"]);
+        world.steering.confirm(Time(0));
+        world
+    }
+
+    fn apply(&mut self, kind: &str, name: &str, body: Body) {
+        self.version += 1;
+        let object = Object {
+            key: ObjectKey::new(kind, name),
+            version: Version(self.version),
+            change: 0,
+            body,
+        };
+        self.steering.apply(self.now, &object);
+    }
+
+    fn pool(&mut self, service: &str) {
+        let pool = Pool {
+            conns: 2000,
+            cold_ms: 2000,
+            cold_rate: 0,
+        };
+        self.apply("pool", service, Body::Pool(pool));
+    }
+
+    fn route(&mut self, name: &str, services: &[&str]) {
+        let shares = services.iter().map(|s| Share {
+            service: s.parse().unwrap(),
+            weight: 1,
+        });
+        let route = Route {
+            address: ROUTE.parse().unwrap(),
+            shares: shares.collect(),
+            once: false,
+            rank: 1,
+            deadline_ms: 2000,
+            goal_ms: 150,
+        };
+        self.apply("route", name, Body::Route(route));
+    }
+
+    fn host(&mut self, id: u64, service: &str, domain: &str, change: impl FnOnce(&mut Host)) {
+        let mut host = Host {
+            id: HostId(id),
+            service: service.parse().unwrap(),
+            domain: domain.parse().unwrap(),
+            address: Address::from(([10, 0, 0, id as u8], 80)),
+            state: State::Live,
+            life: Incarnation(1),
+            cold_ms: 0,
+            slots: 2,
+        };
+        change(&mut host);
+        self.apply("host", &id.to_string(), Body::Host(host));
+    }
+
+    fn gone(&mut self, id: u64) {
+        self.apply("host", &id.to_string(), Body::Removed);
+    }
+
+    fn domain(&mut self, name: &str, state: DomainState) {
+        self.apply("domain", name, Body::Domain { state });
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Ms(ms);
+    }
+
+    fn packet(&mut self, caller: u16, change: impl FnOnce(&mut Segment)) -> Verdict {
+        let mut segment = Segment {
+            caller: Address::from(([100, 64, 0, 1], caller)),
+            service: ROUTE.parse().unwrap(),
+            mark: Stage::Open,
+            token: Token::NONE,
+            seq: 1000,
+            ack: 0,
+            len: 0,
+        };
+        change(&mut segment);
+        self.steering.packet(self.now, &segment)
+    }
+
+    /// Opens a flow and acknowledges the target's answer at once.
+    fn open(&mut self, caller: u16) -> Option<HostId> {
+        let verdict = self.packet(caller, |_| {});
+        let host = target(verdict)?;
+        self.later(caller, host, 1, 0);
+        Some(host)
+    }
+
+    fn later(&mut self, caller: u16, host: HostId, ack: u32, len: u32) -> Verdict {
+        self.packet(caller, |s| {
+            s.mark = Stage::Within;
+            s.token = Token::of(host, Incarnation(1));
+            s.ack = ack;
+            s.len = len;
+        })
+    }
+
+    fn opened(&mut self, callers: std::ops::Range<u16>) -> Vec<u64> {
+        let hosts = callers.filter_map(|c| self.open(c).map(|h| h.0));
+        let mut hosts: Vec<u64> = hosts.collect();
+        hosts.sort_unstable();
+        hosts
+    }
+}
+
+fn target(verdict: Verdict) -> Option<HostId> {
+    match verdict {
+        Verdict::Forward { host, .. } => Some(host),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_flow_outlives_a_route_change_at_a_vm_that_started_after_it() {
+    let mut world = World::new();
+    world.pool("desk");
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "desk", "accra", |_| {});
+    // This VM has never seen the route lead to `desk`; another one has.
+    let verdict = world.later(1, HostId(2), 77, 10);
+    assert_eq!(target(verdict), Some(HostId(2)));
+}
+
+#[test]
+fn a_token_of_two_services_stays_in_the_routes_own() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "accra", |_| {});
+    world.pool("desk");
+    world.host(3, "desk", "accra", |_| {});
+    for id in [1, 2] {
+        let verdict = world.later(9, HostId(id), 77, 10);
+        assert_eq!(target(verdict), Some(HostId(id)));
+    }
+}
+
+#[test]
+fn flows_spread_evenly_over_the_own_failure_domain() {
+    let mut world = World::new();
+    for id in 1..=3 {
+        world.host(id, "ledger", "accra", |_| {});
+    }
+    world.host(4, "ledger", "tema", |_| {});
+    assert_eq!(world.opened(1..10), [1, 1, 1, 2, 2, 2, 3, 3, 3]);
+}
+
+#[test]
+fn a_cold_target_gets_no_flow_while_a_warm_one_has_room() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |h| h.cold_ms = 1500);
+    world.host(2, "ledger", "tema", |_| {});
+    assert_eq!(world.opened(1..4), [2, 2, 2]);
+    world.pass(2400);
+    assert_eq!(
+        world.opened(4..6),
+        [2, 2],
+        "the list may be a heartbeat old"
+    );
+    world.pass(200);
+    assert_eq!(world.opened(6..8), [1, 1]);
+}
+
+#[test]
+fn a_returning_failure_domain_counts_as_cold() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "tema", |_| {});
+    world.domain("accra", DomainState::Out);
+    world.pass(9000);
+    world.domain("accra", DomainState::In);
+    assert_eq!(world.opened(1..3), [2, 2]);
+    world.pass(3000);
+    assert_eq!(world.opened(3..5), [1, 1]);
+}
+
+#[test]
+fn a_failure_domain_that_is_out_gets_no_packet_after_its_time_to_leave() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "tema", |_| {});
+    assert_eq!(world.open(1), Some(HostId(1)));
+    world.domain("accra", DomainState::Out);
+    assert_eq!(world.open(2), Some(HostId(2)), "no new flows at once");
+    world.pass(3900);
+    assert_eq!(target(world.later(1, HostId(1), 50, 10)), Some(HostId(1)));
+    world.pass(100);
+    assert_eq!(target(world.later(1, HostId(1), 60, 10)), None);
+}
+
+#[test]
+fn a_copy_of_an_opening_packet_goes_to_another_target() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "accra", |_| {});
+    let first = target(world.packet(1, |_| {}));
+    world.pass(200);
+    let second = target(world.packet(1, |s| s.ack = 1));
+    assert!(second.is_some());
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_target_that_does_not_accept_gets_no_new_flows() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "accra", |_| {});
+    let silent = target(world.packet(1, |_| {})).unwrap();
+    world.pass(100);
+    let other = HostId(3 - silent.0);
+    for caller in 2..8 {
+        assert_eq!(world.open(caller), Some(other));
+    }
+    // An answer clears it.
+    world.later(1, silent, 1, 0);
+    assert_eq!(world.open(9), Some(silent));
+}
+
+#[test]
+fn a_target_that_left_the_list_keeps_its_flows() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "accra", |_| {});
+    world.host(1, "ledger", "accra", |h| h.state = State::Leaving);
+    assert_eq!(world.opened(1..3), [2, 2]);
+    world.gone(1);
+    assert_eq!(world.opened(3..5), [2, 2]);
+    world.pass(30_000);
+    assert_eq!(target(world.later(9, HostId(1), 5, 5)), Some(HostId(1)));
+}
+
+#[test]
+fn without_any_target_a_flow_is_refused_at_once() {
+    let mut world = World::new();
+    assert_eq!(world.packet(1, |_| {}), Verdict::Reset(Code::NoRoom));
+}
+
+#[test]
+fn an_unknown_service_is_refused_only_on_fresh_knowledge() {
+    let mut world = World::new();
+    let other = |s: &mut Segment| s.service = "198.18.0.9:443".parse().unwrap();
+    assert_eq!(world.packet(1, other), Verdict::Reset(Code::NoService));
+    world.pass(2000);
+    assert_eq!(world.packet(1, other), Verdict::Drop(Code::NoService));
+    let bounds = Bounds {
+        leave: Ms(4000),
+        lag: Ms(1000),
+    };
+    let mut new = Steering::new("accra".parse().unwrap(), bounds);
+    let segment = Segment {
+        caller: "100.64.0.1:1".parse().unwrap(),
+        service: ROUTE.parse().unwrap(),
+        mark: Stage::Open,
+        token: Token::NONE,
+        seq: 1,
+        ack: 0,
+        len: 0,
+    };
+    let verdict = new.packet(Time(0), &segment);
+    assert_eq!(verdict, Verdict::Drop(Code::NotReady), "no catalogue yet");
+}
+
+#[test]
+fn a_removed_route_ends_its_flows() {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    assert_eq!(world.open(1), Some(HostId(1)));
+    world.apply("route", "main", Body::Removed);
+    let verdict = world.later(1, HostId(1), 50, 10);
+    assert_eq!(verdict, Verdict::Reset(Code::NoService));
+}
--- a/fuzz/src/world.rs
+++ b/fuzz/src/world.rs
@@ -257,6 +257,9 @@
             domain: truth.domain.clone(),
             address: self.targets[&id].address,
             state,
+            life: wire::Incarnation(0),
+            cold_ms: 0,
+            slots: 0,
         };
         self.write(ObjectKey::new("host", id), Body::Host(host));
     }
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -169,6 +169,9 @@
         domain: domain.clone(),
         address: spec.address,
         state,
+        life: wire::Incarnation(0),
+        cold_ms: 0,
+        slots: 0,
     };
     let key = ObjectKey::new("host", spec.id);
     let written = client.write(&key, &wire::Body::Host(host)).await;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -16,8 +16,8 @@
 
 pub use id::{Address, DomainId, HostId, IdError, Incarnation, Number, ServiceId, Version, VmId};
 pub use object::{
-    Body, Class, DomainState, Host, Limits, Member, Object, ObjectKey, Put, PutReply, Service,
-    State, View, Vm, Watch,
+    Body, Class, DomainState, Host, Limits, Member, Object, ObjectKey, Pool, Put, PutReply, Route,
+    Service, Share, State, View, Vm, Watch,
 };
 
 /// Names of the HTTP headers that callers, entry VMs and targets exchange.
--- a/wire/src/object.rs
+++ b/wire/src/object.rs
@@ -110,6 +110,52 @@
     pub address: Address,
     /// Life cycle.
     pub state: State,
+    /// Which of the target's lives.
+    #[serde(default)]
+    pub life: Incarnation,
+    /// Remaining time of its cold start when it wrote this, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+    /// Requests that it runs at once; 0 if it does not say.
+    #[serde(default)]
+    pub slots: u32,
+}
+
+/// Where new flows to one address go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Address that callers send to.
+    pub address: Address,
+    /// Services that share its new flows.
+    pub shares: Vec<Share>,
+    /// Requests inside may not be repeated.
+    pub once: bool,
+    /// Importance under overload; 0 is shed last.
+    pub rank: u32,
+    /// Longest time that a request may take, in milliseconds.
+    pub deadline_ms: u64,
+    /// Time within which an answer is of full use, in milliseconds.
+    pub goal_ms: u64,
+}
+
+/// A service's part of a route's new flows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceId,
+    /// Its part, relative to the other shares' weights.
+    pub weight: u32,
+}
+
+/// What each target of a service bears, where no catalogue entry says so.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Open flows.
+    pub conns: u32,
+    /// Length of a cold start in milliseconds.
+    pub cold_ms: u64,
+    /// New flows a second during a cold start.
+    pub cold_rate: u32,
 }
 
 /// An entry VM, as the platform lists it.
@@ -162,6 +208,10 @@
     },
     /// A target, named by its identity.
     Host(Host),
+    /// Where new flows to an address go, named by the operators.
+    Route(Route),
+    /// Limits of a service's targets, named by the service.
+    Pool(Pool),
     /// An entry VM, named by its identity.
     Vm(Vm),
     /// A cell's view, named by the cell's failure domain.
@@ -173,7 +223,7 @@
 /// Kind and name of an object.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ObjectKey {
-    /// `service`, `domain`, `host`, `vm` or `view`.
+    /// `service`, `domain`, `host`, `route`, `pool`, `vm` or `view`.
     pub kind: Box<str>,
     /// Name within the kind.
     pub name: Box<str>,
