End flows to targets that died without a word

Change: a repeat counts only 150 ms after the last packet of the data. A target whose flow repeats twice without any sign of life is given up: its quiet flows are reset, so that the next request goes elsewhere; requests in progress that may not be repeated wait on. One packet a second tests it. A target that left the list is given up at the first repeat.

--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -440,7 +440,11 @@
     let mut steering = shared.steering();
     let verdict = steering.packet(now, segment);
     let opening = steering.take_opening();
+    let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
     drop(steering);
+    for segment in &ended {
+        reset(shared, segment, Code::FlowEnded, out);
+    }
     out.clear();
     let to = match verdict {
         Verdict::Forward {
@@ -452,11 +456,7 @@
             count(&shared.counters.forwarded);
             address
         }
-        Verdict::Reset(code) => {
-            count(&shared.counters.refused);
-            log_end(segment, code, "flow reset");
-            (shared.codec.reset)(segment, shared.own, out)
-        }
+        Verdict::Reset(code) => return reset(shared, segment, code, out),
         Verdict::Drop(code) => {
             count(&shared.counters.dropped);
             log_end(segment, code, "packet dropped");
@@ -471,6 +471,14 @@
     }
 }
 
+fn reset(shared: &Shared, segment: &Segment, code: Code, out: &mut Vec<u8>) {
+    count(&shared.counters.refused);
+    log_end(segment, code, "flow reset");
+    out.clear();
+    let to = (shared.codec.reset)(segment, shared.own, out);
+    send(shared, out, to);
+}
+
 fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
     if let Err(error) = shared.socket.send_to(packet, to) {
         count(&shared.counters.unsent);
--- a/burdocklever/src/signal.rs
+++ b/burdocklever/src/signal.rs
@@ -16,6 +16,8 @@
 /// Pause between flows that test a suspect target. Nine VMs that test one
 /// target together stay below the five flows a second that a cold one bears.
 const PROBE: Ms = Ms(4000);
+/// Pause between packets that test a target that was given up.
+const TEST: Ms = Ms(900);
 /// Weight of a new sample in the mean answer time, as one part in so many.
 const SMOOTHING: u32 = 8;
 
@@ -36,6 +38,8 @@
     repeated: Option<Time>,
     /// Last sign of life.
     heard: Option<Time>,
+    /// Whether it was given up, and when a packet last tested it.
+    given_up: Option<Time>,
 }
 
 impl Signals {
@@ -50,6 +54,31 @@
         self.heard = Some(now);
         self.asked = None;
         self.repeated = None;
+        self.given_up = None;
+    }
+
+    /// Notes that the target is believed dead.
+    pub(crate) fn give_up(&mut self, now: Time) {
+        self.given_up.get_or_insert(now);
+    }
+
+    /// Whether the target is believed dead.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.given_up.is_some()
+    }
+
+    /// Whether a packet may test a target that was given up.
+    pub(crate) fn take_test(&mut self, now: Time) -> bool {
+        let due = self.given_up.is_some_and(|at| now.since(at) >= TEST);
+        if due {
+            self.given_up = Some(now);
+        }
+        due
+    }
+
+    /// Whether there was no sign of life after `time`.
+    pub(crate) fn is_silent_since(&self, time: Time) -> bool {
+        self.heard.is_none_or(|at| at <= time)
     }
 
     /// Notes how long the target took for the first byte of an answer.
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -20,8 +20,8 @@
 use crate::time::{Ms, Time};
 use crate::token::Token;
 
-/// Flows remembered at most; 64 bytes each, so some 20 MB.
-const FLOWS_MAX: usize = 300_000;
+/// Flows remembered at most; some 170 bytes each, so 25 MB.
+const FLOWS_MAX: usize = 150_000;
 /// Time after which a flow without packets is forgotten. Callers end a request
 /// after at most 10 s.
 const FLOW_IDLE: Ms = Ms(12_000);
@@ -30,6 +30,13 @@
 const TARGET_KEPT: Ms = Ms(120_000);
 /// Age of the catalogue up to which "no such service" is certain.
 const FRESH: Ms = Ms(2000);
+/// Shortest time between a packet and its repetition. Callers wait 200 ms; what
+/// comes sooner was overtaken on the way, or read late by this VM.
+const REPEAT_MIN: Ms = Ms(150);
+/// Repeats that a silent target's flow needs to be given up, and fewer if the
+/// target has left the list. One packet in some ten thousand is lost.
+const REPEATS_LISTED: u8 = 2;
+const REPEATS_LEFT: u8 = 1;
 /// Targets that the copies of one opening packet may go to.
 const TRIES: usize = 3;
 
@@ -98,12 +105,16 @@
     /// Services that any version of the route has led to.
     allowed: Vec<usize>,
     goal: Ms,
+    /// Requests inside may not be repeated.
+    once: bool,
     removed: bool,
 }
 
 /// What is remembered of a flow.
 #[derive(Debug, Clone, Copy)]
 struct Flow {
+    caller: Address,
+    service: Address,
     target: usize,
     seen: Time,
     /// Time of the request that has no answer yet.
@@ -114,6 +125,10 @@
     acked: u32,
     stage: Stage,
     tried: [usize; TRIES],
+    /// Last time that data was forwarded.
+    data: Time,
+    /// Repetitions of the data since it was first forwarded.
+    repeats: u8,
 }
 
 /// No target.
@@ -133,6 +148,7 @@
     hosts: HashMap<HostId, usize>,
     flows: HashMap<FlowKey, Flow>,
     opening: Option<Opening>,
+    resets: Vec<Segment>,
 }
 
 impl Steering {
@@ -150,6 +166,7 @@
             hosts: HashMap::new(),
             flows: HashMap::new(),
             opening: None,
+            resets: Vec::new(),
         }
     }
 
@@ -185,6 +202,12 @@
         self.opening.take()
     }
 
+    /// A flow to reset although its caller sent nothing: the last packet that
+    /// it might have sent.
+    pub fn pull_reset(&mut self) -> Option<Segment> {
+        self.resets.pop()
+    }
+
     /// Takes in a changed object of the catalogue.
     pub fn apply(&mut self, now: Time, object: &Object) {
         self.now = self.now.max(now);
@@ -229,6 +252,7 @@
             shares,
             allowed,
             goal: Ms(route.goal_ms),
+            once: route.once,
             removed: false,
         };
         self.routes.insert(route.address, route_state);
@@ -402,6 +426,8 @@
         self.forget(key);
         let copies = tried.iter().filter(|t| **t != NOWHERE).count();
         let mut flow = Flow {
+            caller: segment.caller,
+            service: segment.service,
             target: choice.target,
             seen: self.now,
             asked: None,
@@ -409,6 +435,8 @@
             acked: 0,
             stage: Stage::Open,
             tried,
+            data: self.now,
+            repeats: 0,
         };
         flow.tried[copies.min(TRIES - 1)] = choice.target;
         self.remember(key, flow);
@@ -485,6 +513,18 @@
             return Verdict::Drop(Code::FlowEnded);
         }
         self.watch(segment, index);
+        let once = self.routes.get(&segment.service).is_some_and(|r| r.once);
+        let target = &mut self.targets[index];
+        if segment.len > 0 && target.signals.is_given_up() {
+            let waits = self
+                .flows
+                .get(&segment.key())
+                .is_some_and(|f| f.repeats > 0);
+            if !(once && waits) && !target.signals.take_test(self.now) {
+                self.forget(segment.key());
+                return Verdict::Reset(Code::FlowEnded);
+            }
+        }
         let target = &self.targets[index];
         Verdict::Forward {
             host: target.host,
@@ -512,49 +552,54 @@
     fn watch(&mut self, segment: &Segment, index: usize) {
         let key = segment.key();
         let now = self.now;
-        let known = self.flows.get(&key).filter(|f| f.target == index).copied();
-        if known.is_none() {
+        let known = self.flows.get(&key).is_some_and(|f| f.target == index);
+        if !known {
             self.forget(key);
             self.remember(key, adopt(now, segment, index));
         }
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
-        let signals = &mut self.targets[index].signals;
+        let target = &mut self.targets[index];
         flow.seen = now;
-        if flow.stage == Stage::Open {
-            signals.heard(now);
-            flow.stage = Stage::Within;
-            flow.acked = segment.ack;
-            flow.sent = segment.seq;
-        } else if is_after(segment.ack, flow.acked) {
-            signals.heard(now);
-            flow.acked = segment.ack;
-            if let Some(at) = flow.asked.take() {
-                signals.answered(now.since(at));
-                signals.waiting = signals.waiting.saturating_sub(1);
-            }
-        }
-        let end = segment.seq.wrapping_add(segment.len);
-        if segment.len > 0 && known.is_some() {
-            if is_after(end, flow.sent) {
-                if flow.asked.is_none() && flow.stage == Stage::Within {
-                    flow.asked = Some(now);
-                    signals.waiting += 1;
-                }
-            } else {
-                signals.repeated(now);
-            }
-        }
-        if is_after(end, flow.sent) {
-            flow.sent = end;
+        hear(now, segment, flow, &mut target.signals);
+        let mut dead = false;
+        if segment.len > 0 && known {
+            dead = note_data(now, segment, flow, target);
         }
         if segment.mark == Stage::Close && flow.stage != Stage::Close {
+            release(&mut target.signals, flow);
             flow.stage = Stage::Close;
-            signals.flows = signals.flows.saturating_sub(1);
-            if flow.asked.take().is_some() {
-                signals.waiting = signals.waiting.saturating_sub(1);
+            flow.asked = None;
+        }
+        if dead {
+            self.give_up(index, key);
+        }
+    }
+
+    /// Believes a target dead and ends its flows, so that callers need not wait
+    /// for their deadlines to find out. Requests in progress that may not be
+    /// repeated are left alone: an answer may still come.
+    fn give_up(&mut self, index: usize, cause: FlowKey) {
+        let target = &mut self.targets[index];
+        if target.signals.is_given_up() {
+            return;
+        }
+        target.signals.give_up(self.now);
+        let token = target.token;
+        let routes = &self.routes;
+        let ends = |(key, flow): &(&FlowKey, &Flow)| {
+            let once = routes.get(&flow.service).is_some_and(|r| r.once);
+            let open = flow.target == index && flow.stage == Stage::Within;
+            open && **key != cause && !(once && flow.asked.is_some())
+        };
+        let mut ended: Vec<FlowKey> = self.flows.iter().filter(ends).map(|(k, _)| *k).collect();
+        ended.sort_unstable();
+        for key in ended {
+            if let Some(flow) = self.flows.get(&key) {
+                self.resets.push(last_segment(flow, token));
             }
+            self.forget(key);
         }
     }
 
@@ -564,9 +609,9 @@
         }
         if let Entry::Vacant(slot) = self.flows.entry(key) {
             slot.insert(flow);
-            if flow.stage != Stage::Close {
-                self.targets[flow.target].signals.flows += 1;
-            }
+            let signals = &mut self.targets[flow.target].signals;
+            signals.flows += u32::from(flow.stage != Stage::Close);
+            signals.waiting += u32::from(flow.asked.is_some());
         }
     }
 
@@ -632,9 +677,11 @@
 /// A flow that another VM opened.
 fn adopt(now: Time, segment: &Segment, target: usize) -> Flow {
     Flow {
+        caller: segment.caller,
+        service: segment.service,
         target,
         seen: now,
-        asked: None,
+        asked: (segment.len > 0).then_some(now),
         sent: segment.seq.wrapping_add(segment.len),
         acked: segment.ack,
         stage: match segment.mark {
@@ -642,6 +689,72 @@
             _ => Stage::Within,
         },
         tried: [NOWHERE; TRIES],
+        data: now,
+        repeats: 0,
+    }
+}
+
+/// Takes in what a later packet says of the target's answers.
+fn hear(now: Time, segment: &Segment, flow: &mut Flow, signals: &mut Signals) {
+    if flow.stage == Stage::Open {
+        signals.heard(now);
+        flow.stage = Stage::Within;
+        flow.acked = segment.ack;
+        flow.sent = segment.seq;
+        return;
+    }
+    let answered = is_after(segment.ack, flow.acked);
+    // A packet without data acknowledges one that has just arrived.
+    if answered || (segment.len == 0 && segment.mark == Stage::Within) {
+        signals.heard(now);
+        flow.repeats = 0;
+    }
+    if answered {
+        flow.acked = segment.ack;
+        if let Some(at) = flow.asked.take() {
+            signals.answered(now.since(at));
+            signals.waiting = signals.waiting.saturating_sub(1);
+        }
+    }
+}
+
+/// Takes in a packet with data. Returns whether it shows that the target died.
+fn note_data(now: Time, segment: &Segment, flow: &mut Flow, target: &mut Target) -> bool {
+    let signals = &mut target.signals;
+    let end = segment.seq.wrapping_add(segment.len);
+    if is_after(end, flow.sent) {
+        if flow.asked.replace(now).is_none() {
+            signals.waiting += 1;
+        }
+        flow.sent = end;
+        flow.data = now;
+        flow.repeats = 0;
+        return false;
+    }
+    if now.since(flow.data) < REPEAT_MIN {
+        return false;
+    }
+    flow.data = now;
+    flow.repeats = flow.repeats.saturating_add(1);
+    signals.repeated(now);
+    let enough = match target.left {
+        Some(_) => REPEATS_LEFT,
+        None => REPEATS_LISTED,
+    };
+    let asked = flow.asked.unwrap_or(now);
+    flow.asked.is_some() && flow.repeats >= enough && signals.is_silent_since(asked)
+}
+
+/// The last packet that a flow's caller sent, as far as it is remembered.
+fn last_segment(flow: &Flow, token: Token) -> Segment {
+    Segment {
+        caller: flow.caller,
+        service: flow.service,
+        mark: Stage::Within,
+        token,
+        seq: flow.sent,
+        ack: flow.acked,
+        len: 0,
     }
 }
 
--- a/burdocklever/tests/steer.rs
+++ b/burdocklever/tests/steer.rs
@@ -53,6 +53,10 @@
     }
 
     fn route(&mut self, name: &str, services: &[&str]) {
+        self.route_of(name, services, false);
+    }
+
+    fn route_of(&mut self, name: &str, services: &[&str], once: bool) {
         let shares = services.iter().map(|s| Share {
             service: s.parse().unwrap(),
             weight: 1,
@@ -60,7 +64,7 @@
         let route = Route {
             address: ROUTE.parse().unwrap(),
             shares: shares.collect(),
-            once: false,
+            once,
             rank: 1,
             deadline_ms: 2000,
             goal_ms: 150,
@@ -126,6 +130,19 @@
         })
     }
 
+    /// Sends a request in bytes 1000 to 1100 of its flow.
+    fn ask(&mut self, caller: u16, host: HostId) -> Verdict {
+        self.later(caller, host, 1, 100)
+    }
+
+    /// Callers whose flows were reset without a packet of theirs.
+    fn resets(&mut self) -> Vec<u16> {
+        let all = std::iter::from_fn(|| self.steering.pull_reset());
+        let mut callers: Vec<u16> = all.map(|s| s.caller.port()).collect();
+        callers.sort_unstable();
+        callers
+    }
+
     fn opened(&mut self, callers: std::ops::Range<u16>) -> Vec<u64> {
         let hosts = callers.filter_map(|c| self.open(c).map(|h| h.0));
         let mut hosts: Vec<u64> = hosts.collect();
@@ -299,3 +316,107 @@
     let verdict = world.later(1, HostId(1), 50, 10);
     assert_eq!(verdict, Verdict::Reset(Code::NoService));
 }
+
+/// One target that dies without a word, one that lives on.
+fn a_silent_target() -> World {
+    let mut world = World::new();
+    world.host(1, "ledger", "accra", |_| {});
+    for caller in 1..=4 {
+        assert_eq!(world.open(caller), Some(HostId(1)));
+    }
+    world.host(2, "ledger", "accra", |_| {});
+    world.pass(1000);
+    world.ask(1, HostId(1));
+    world
+}
+
+#[test]
+fn flows_to_a_target_that_died_are_reset_at_the_second_repeat() {
+    let mut world = a_silent_target();
+    world.pass(200);
+    assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+    assert!(world.resets().is_empty(), "one packet may have been lost");
+    world.pass(400);
+    let verdict = world.ask(1, HostId(1));
+    assert_eq!(verdict, Verdict::Reset(Code::FlowEnded));
+    assert_eq!(world.resets(), [2, 3, 4], "quiet flows need not find out");
+    // A flow that another VM had forwarded so far.
+    let verdict = world.ask(9, HostId(1));
+    assert_eq!(verdict, Verdict::Reset(Code::FlowEnded));
+    assert_eq!(world.open(10), Some(HostId(2)));
+}
+
+#[test]
+fn a_target_that_left_the_list_is_given_up_at_the_first_repeat() {
+    let mut world = a_silent_target();
+    world.gone(1);
+    world.pass(200);
+    let verdict = world.ask(1, HostId(1));
+    assert_eq!(verdict, Verdict::Reset(Code::FlowEnded));
+}
+
+#[test]
+fn a_target_that_answers_others_loses_no_flow() {
+    let mut world = a_silent_target();
+    for pause in [200, 400, 800] {
+        world.pass(pause);
+        assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+        world.later(2, HostId(1), 5 + pause as u32, 0);
+    }
+    assert!(world.resets().is_empty());
+}
+
+#[test]
+fn packets_out_of_order_are_no_repeats() {
+    let mut world = a_silent_target();
+    for _ in 0..5 {
+        world.pass(10);
+        assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+    }
+    assert!(world.resets().is_empty());
+    assert!(
+        world.opened(5..15).contains(&1),
+        "the target is not suspect"
+    );
+}
+
+#[test]
+fn a_vm_that_was_frozen_blames_no_target() {
+    let mut world = a_silent_target();
+    // The queue holds the repeats of the whole time.
+    world.pass(3000);
+    for _ in 0..4 {
+        assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+    }
+    assert!(world.resets().is_empty());
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_waits_for_its_target() {
+    let mut world = World::new();
+    world.route_of("main", &["ledger"], true);
+    world.host(1, "ledger", "accra", |_| {});
+    world.open(1);
+    world.open(2);
+    world.ask(1, HostId(1));
+    for pause in [200, 400, 800] {
+        world.pass(pause);
+        assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+    }
+    assert_eq!(world.resets(), [2], "the quiet flow has nothing to lose");
+}
+
+#[test]
+fn a_target_given_up_by_mistake_is_found_again() {
+    let mut world = a_silent_target();
+    world.pass(200);
+    world.ask(1, HostId(1));
+    world.pass(400);
+    world.ask(1, HostId(1));
+    world.pass(900);
+    // Once a second a packet tests it.
+    assert_eq!(target(world.ask(9, HostId(1))), Some(HostId(1)));
+    assert_eq!(target(world.ask(8, HostId(1))), None);
+    world.later(9, HostId(1), 7, 0);
+    assert_eq!(target(world.ask(8, HostId(1))), Some(HostId(1)));
+}
