Let flows leave the failure domain before its targets queue

Change: a target is also full once this VM alone has as many requests without an answer there as it runs at once.

--- a/burdocklever/src/place.rs
+++ b/burdocklever/src/place.rs
@@ -29,6 +29,9 @@
     pub(crate) load: u32,
     /// Mean time to the first byte of an answer.
     pub(crate) answer: Ms,
+    /// Whether this VM alone has as many requests without an answer there as
+    /// the target runs at once.
+    pub(crate) busy: bool,
     /// Breaks ties; differs from flow to flow.
     pub(crate) tie: u64,
 }
@@ -72,7 +75,7 @@
 }
 
 fn is_full(near: &Candidate, goal: Ms) -> bool {
-    near.answer.0 * 100 > goal.0 * SPILL_PERCENT
+    near.busy || near.answer.0 * 100 > goal.0 * SPILL_PERCENT
 }
 
 /// The least loaded target. Each flow breaks ties its own way, so that VMs
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -487,6 +487,7 @@
                 suspect: suspect || tried.contains(i),
                 load: place::load(signals.flows, signals.waiting, target.slots),
                 answer: signals.answer_time(),
+                busy: signals.waiting >= target.slots.max(1),
                 tie: rank::score(key.0, target.host.0),
             })
         };
--- a/burdocklever/tests/steer.rs
+++ b/burdocklever/tests/steer.rs
@@ -420,3 +420,23 @@
     world.later(9, HostId(1), 7, 0);
     assert_eq!(target(world.ask(8, HostId(1))), Some(HostId(1)));
 }
+
+/// Callers come back together after all VMs were lost: every VM starts with
+/// empty tables, and each failure domain has its own share of callers.
+#[test]
+fn a_returning_herd_spills_before_the_own_failure_domain_queues() {
+    let mut world = World::new();
+    for id in 1..=3 {
+        world.host(id, "ledger", "accra", |_| {});
+    }
+    for id in 4..=8 {
+        world.host(id, "ledger", "tema", |_| {});
+    }
+    let mut waiting = [0; 9];
+    for caller in 1..=32 {
+        let host = world.open(caller).unwrap();
+        world.ask(caller, host);
+        waiting[host.0 as usize] += 1;
+    }
+    assert_eq!(waiting[1..], [4; 8], "each target runs two at once");
+}
