Read the store through a few watchers and relay what they learn

Cause: every VM listed and watched every feed.

Change: VMs list themselves in the store. The first-ranked of the fleet, one for each 32 and one spare, read the store; the others ask one of them with a long poll and read the store themselves as soon as what they know grows too old. A VM that starts asks the seeds first. Book holds what is known, how complete and how fresh; revisions are the store's from either source. Each VM removes the entry of the next one in a ring once it has not answered for three minutes.

Lists now raise a floor below which peers get whole feeds; a list older than what is known removes nothing.

--- /dev/null
+++ b/burdocklever/src/book.rs
@@ -0,0 +1,270 @@
+//! What a gateway knows of the platform's objects, how complete and how fresh
+//! it is, and what of it a peer lacks.
+//!
+//! The same knowledge comes from the store or from a peer; revisions are the
+//! store's in both cases, so a gateway changes between them at any time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use wire::{Body, Object, ObjectKey, Version};
+
+use crate::catalogue::Catalogue;
+use crate::store::Feed;
+use crate::time::{Ms, Time};
+
+/// Time that targets have to write their entries again once the platform is
+/// back. The platform's owners promise two seconds.
+pub(crate) const GRACE: Ms = Ms(2200);
+/// Removed objects that are remembered, so that peers learn of the removal.
+/// At 17,000 changes a day this is several hours.
+const REMOVED_MAX: usize = 4096;
+
+/// What one gateway tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Objects newer than the other knows.
+    pub objects: Vec<Object>,
+    /// Feeds of which these are all objects: what is missing has been removed.
+    pub whole: [bool; Feed::COUNT],
+    /// Revision up to which each feed is complete.
+    pub through: [Version; Feed::COUNT],
+    /// Time since each feed was last known to be up to date; none if never.
+    pub age: [Option<Ms>; Feed::COUNT],
+}
+
+/// State of one feed.
+#[derive(Debug, Clone, Default)]
+struct Progress {
+    through: Version,
+    /// When what is known was last up to date.
+    confirmed: Option<Time>,
+    /// Whether the store did not answer the last call.
+    away: bool,
+    /// Removals up to this revision may be unknown or forgotten.
+    floor: Version,
+    /// Until when objects that are missing after an outage are kept.
+    kept: Time,
+    missing: BTreeMap<ObjectKey, Version>,
+}
+
+/// Everything known, feed by feed.
+#[derive(Debug, Default)]
+pub struct Book {
+    catalogue: Catalogue,
+    feeds: [Progress; Feed::COUNT],
+}
+
+impl Book {
+    /// The objects themselves.
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// Revision up to which a feed is complete; none before it was read once.
+    pub fn through(&self, feed: Feed) -> Option<Version> {
+        let progress = &self.feeds[feed as usize];
+        progress.confirmed.map(|_| progress.through)
+    }
+
+    /// Revision up to which each feed is complete.
+    pub fn all_through(&self) -> [Version; Feed::COUNT] {
+        std::array::from_fn(|i| self.feeds[i].through)
+    }
+
+    /// When a feed was last known to be up to date.
+    pub fn confirmed(&self, feed: Feed) -> Option<Time> {
+        self.feeds[feed as usize].confirmed
+    }
+
+    /// Whether every feed that packets depend on has been read.
+    pub fn is_complete(&self) -> bool {
+        Feed::NEEDED.iter().all(|f| self.confirmed(*f).is_some())
+    }
+
+    /// Time until some feed that packets depend on grows older than `limit`
+    /// allows; zero if one is already.
+    pub fn fresh_for(&self, now: Time, limit: impl Fn(Feed) -> Ms) -> Ms {
+        let left = |feed: Feed| match self.confirmed(feed) {
+            Some(at) => (at + limit(feed)).since(now),
+            None => Ms(0),
+        };
+        Feed::NEEDED.into_iter().map(left).min().unwrap_or_default()
+    }
+
+    /// Takes in that the store did not answer.
+    pub fn lost(&mut self, feed: Feed) {
+        self.feeds[feed as usize].away = true;
+    }
+
+    /// Takes in that the store answered. Returns whether it had been away.
+    pub fn regained(&mut self, now: Time, feed: Feed) -> bool {
+        let progress = &mut self.feeds[feed as usize];
+        let was = std::mem::take(&mut progress.away);
+        if was {
+            progress.kept = now + GRACE;
+        }
+        was
+    }
+
+    /// Takes in a feed's complete list. Returns what changed.
+    pub fn replace(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        list: Vec<Object>,
+        through: Version,
+    ) -> Vec<Object> {
+        let known = self
+            .catalogue
+            .objects()
+            .filter(|o| Feed::of(&o.key) == Some(feed) && o.body != Body::Removed);
+        let listed: BTreeSet<&ObjectKey> = list.iter().map(|o| &o.key).collect();
+        let absent = known.map(|o| &o.key).filter(|key| !listed.contains(key));
+        let absent: Vec<ObjectKey> = absent.cloned().collect();
+        let removals = absent.into_iter().map(|key| removed(key, through));
+        let changes = removals.chain(list).collect();
+        self.change(now, feed, changes, through)
+    }
+
+    /// Takes in that a feed was listed instead of watched: what came and went
+    /// before `through` may never have been seen.
+    pub fn listed(&mut self, feed: Feed, through: Version) {
+        let floor = &mut self.feeds[feed as usize].floor;
+        *floor = (*floor).max(through);
+    }
+
+    /// Takes in a feed's changes in their order. Returns what they change here.
+    pub fn change(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        list: Vec<Object>,
+        through: Version,
+    ) -> Vec<Object> {
+        let mut fresh = Vec::new();
+        for object in list {
+            if object.body == Body::Removed {
+                fresh.extend(self.remove(now, feed, object.key, object.version));
+            } else {
+                self.feeds[feed as usize].missing.remove(&object.key);
+                fresh.extend(self.merge(object));
+            }
+        }
+        self.confirm(now, feed, through);
+        fresh
+    }
+
+    /// Takes in that a feed is up to date as of `through`.
+    pub fn confirm(&mut self, now: Time, feed: Feed, through: Version) {
+        let progress = &mut self.feeds[feed as usize];
+        progress.through = progress.through.max(through);
+        progress.confirmed = progress.confirmed.max(Some(now));
+    }
+
+    /// Removals whose time of grace has ended.
+    pub fn due(&mut self, now: Time, feed: Feed) -> Vec<Object> {
+        let progress = &mut self.feeds[feed as usize];
+        if now < progress.kept {
+            return Vec::new();
+        }
+        let missing = std::mem::take(&mut progress.missing);
+        let removals = missing
+            .into_iter()
+            .map(|(key, version)| removed(key, version));
+        let removals: Vec<Object> = removals.collect();
+        removals.into_iter().filter_map(|o| self.merge(o)).collect()
+    }
+
+    fn remove(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        key: ObjectKey,
+        version: Version,
+    ) -> Option<Object> {
+        // An unknown object's removal is kept too: some peer may know the object.
+        let known = self.catalogue.get(&key).map(|o| o.version);
+        let version = match known {
+            Some(known) if known > version => return None,
+            // The store tells the revision of the object's last change.
+            Some(known) if known == version => Version(known.0 + 1),
+            _ => version,
+        };
+        let progress = &mut self.feeds[feed as usize];
+        if feed == Feed::Hosts && known.is_some() && now < progress.kept {
+            progress.missing.insert(key, version);
+            return None;
+        }
+        self.merge(removed(key, version))
+    }
+
+    fn merge(&mut self, object: Object) -> Option<Object> {
+        self.catalogue.merge(object.clone()).then_some(object)
+    }
+
+    /// What a peer lacks that knows each feed up to `from`.
+    pub fn update(&self, now: Time, from: &[Version; Feed::COUNT]) -> Update {
+        let whole: [bool; Feed::COUNT] = std::array::from_fn(|i| from[i] < self.feeds[i].floor);
+        let lacks = |o: &&Object| {
+            let feed = Feed::of(&o.key).map(|f| f as usize);
+            feed.is_some_and(|i| whole[i] || o.version > from[i])
+        };
+        Update {
+            objects: self.catalogue.objects().filter(lacks).cloned().collect(),
+            whole,
+            through: self.all_through(),
+            age: std::array::from_fn(|i| self.feeds[i].confirmed.map(|at| now.since(at))),
+        }
+    }
+
+    /// Takes in what a peer told. Returns what changed.
+    pub fn learn(&mut self, now: Time, update: Update) -> Vec<Object> {
+        let mut fresh = Vec::new();
+        let live = update.objects.iter().filter(|u| u.body != Body::Removed);
+        let listed: BTreeSet<&ObjectKey> = live.map(|u| &u.key).collect();
+        let gone = |o: &&Object| {
+            let feed = Feed::of(&o.key).map(|f| f as usize);
+            let told = feed.is_some_and(|i| update.whole[i] && o.version <= update.through[i]);
+            told && o.body != Body::Removed && !listed.contains(&o.key)
+        };
+        let gone: Vec<Object> = self.catalogue.objects().filter(gone).cloned().collect();
+        for object in gone {
+            let version = Version(object.version.0 + 1);
+            fresh.extend(self.merge(removed(object.key, version)));
+        }
+        for object in update.objects {
+            fresh.extend(self.merge(object));
+        }
+        for feed in Feed::ALL {
+            let i = feed as usize;
+            let progress = &mut self.feeds[i];
+            progress.through = progress.through.max(update.through[i]);
+            if update.whole[i] {
+                progress.floor = progress.floor.max(update.through[i]);
+            }
+            if let Some(age) = update.age[i] {
+                let at = Time(now.0.saturating_sub(age.0));
+                progress.confirmed = progress.confirmed.max(Some(at));
+            }
+        }
+        fresh
+    }
+
+    /// Forgets the oldest removals beyond those that are kept.
+    pub fn prune(&mut self) {
+        let floor = self.catalogue.prune_removed(REMOVED_MAX);
+        for progress in &mut self.feeds {
+            progress.floor = progress.floor.max(floor);
+        }
+    }
+}
+
+fn removed(key: ObjectKey, version: Version) -> Object {
+    Object {
+        key,
+        version,
+        change: 0,
+        body: Body::Removed,
+    }
+}
--- a/burdocklever/src/catalogue.rs
+++ b/burdocklever/src/catalogue.rs
@@ -72,6 +72,21 @@
         fresh
     }
 
+    /// Forgets the oldest removals beyond `max`. Returns the revision up to
+    /// which some may have been forgotten.
+    pub(crate) fn prune_removed(&mut self, max: usize) -> Version {
+        let removed = self.objects.values().filter(|o| o.body == Body::Removed);
+        let mut versions: Vec<Version> = removed.map(|o| o.version).collect();
+        if versions.len() <= max {
+            return Version(0);
+        }
+        versions.sort_unstable();
+        let floor = versions[versions.len() - max - 1];
+        self.objects
+            .retain(|_, o| o.body != Body::Removed || o.version > floor);
+        floor
+    }
+
     /// Everything known above `from`.
     pub fn delta(&self, from: Version) -> Delta {
         let above = self.objects.values().filter(|o| o.version > from);
--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -88,6 +88,8 @@
     HistoryGone = 312, "platform forgot the changes since";
     /// The platform refuses calls beyond its rate.
     Throttled = 313, "platform refuses calls for now";
+    /// Another entry VM does not answer, or knows nothing fresh.
+    NoPeer = 320, "peer not reached";
 }
 
 impl Code {
--- a/burdocklever/src/daemon.rs
+++ b/burdocklever/src/daemon.rs
@@ -151,7 +151,7 @@
 }
 
 /// An incarnation above that of earlier lives of the VM.
-fn start_life() -> Incarnation {
+pub(crate) fn start_life() -> Incarnation {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     Incarnation(since.map_or(0, |d| d.as_millis() as u64))
 }
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -4,6 +4,7 @@
 //! for the reading of a large catalogue. All else runs on the caller's runtime.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,17 +16,20 @@
 use axum::Router;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinSet;
-use wire::{Address, Body, HostId, Object, Version};
+use wire::{Address, Body, HostId, Member, Object, ObjectKey, State, Vm, VmId};
 
+use crate::book::{Book, Update};
 use crate::code::Code;
-use crate::daemon::{no_bind, Error, Result};
-use crate::follow::{follow, News};
+use crate::daemon::{no_bind, start_life, Error, Result};
+use crate::exchange::{self, Question};
+use crate::follow::{follow, register, register_pause, News, Reader};
 use crate::gateway_settings::GatewaySettings;
 use crate::metrics::{Metrics, Sample};
 use crate::platform;
+use crate::relay::{self, age_max, Relay};
 use crate::segment::{Segment, Verdict};
 use crate::steer::{Bounds, Steering};
-use crate::store::{Feed, Store};
+use crate::store::{Entry, Feed, Store};
 use crate::time::{Ms, Time};
 use crate::token::Token;
 
@@ -43,6 +47,16 @@
 const STOP_MIN: Ms = Ms(1500);
 /// Part of the time before a stopping VM is killed, in percent, that it uses.
 const STOP_PERCENT: u64 = 80;
+/// Time that seeds have to answer a VM that starts before it reads the store.
+/// They answer in about 5 ms.
+const SEED_WAIT: Duration = Duration::from_millis(30);
+/// Time between looks at the VM that this one looks after, and looks without
+/// an answer after which its entry is removed: more than a failure domain is
+/// cut off for, usually.
+const LOOK: Duration = Duration::from_secs(30);
+const LOOKS: u32 = 6;
+/// Pause before a peer is asked again after one failed.
+const PEER_RETRY: Duration = Duration::from_millis(100);
 
 /// Translation between packets as they travel and as decisions see them.
 #[derive(Debug, Clone, Copy)]
@@ -77,13 +91,17 @@
 
 struct Shared {
     steering: Mutex<Steering>,
+    book: Arc<Mutex<Book>>,
+    /// Counts changes of the book, for peers that wait for one.
+    changes: tokio::sync::watch::Sender<u64>,
+    /// Whether this VM reads the store itself.
+    direct: tokio::sync::watch::Sender<bool>,
+    http: reqwest::Client,
     socket: UdpSocket,
     own: Address,
     codec: Codec,
     started: Instant,
     stopping: AtomicBool,
-    /// Feeds that have been read once.
-    complete: Mutex<BTreeSet<Feed>>,
     /// Feeds whose store does not answer.
     lost: Mutex<BTreeSet<Feed>>,
     /// Milliseconds since the start of the last packet.
@@ -102,7 +120,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && lock(&self.complete).len() == Feed::ALL.len()
+        !self.stopping.load(Ordering::Relaxed) && lock(&self.book).is_complete()
     }
 }
 
@@ -119,6 +137,7 @@
     changed: Option<SystemTime>,
     open_store: OpenStore,
     feeds: JoinSet<()>,
+    vm: Vm,
 }
 
 impl Gateway {
@@ -138,12 +157,15 @@
         let steering = Steering::new(settings.domain.clone(), bounds(&settings));
         let shared = Arc::new(Shared {
             steering: Mutex::new(steering),
+            book: Arc::default(),
+            changes: tokio::sync::watch::Sender::new(0),
+            direct: tokio::sync::watch::Sender::new(false),
+            http: peer_client()?,
             socket,
             own: settings.datagram,
             codec,
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            complete: Mutex::default(),
             lost: Mutex::default(),
             last_packet: AtomicU64::new(0),
             counters: Counters::default(),
@@ -153,10 +175,14 @@
             shared: shared.clone(),
             changed: modified(path),
             path: path.into(),
+            vm: own_entry(&settings),
             settings,
             open_store,
             feeds: JoinSet::new(),
         };
+        if let Some(address) = gateway.settings.peer {
+            serve(address, peer_app(shared.clone())).await?;
+        }
         gateway.follow_all()?;
         let receiver = shared.clone();
         std::thread::Builder::new()
@@ -179,11 +205,19 @@
         })?;
         let store = Arc::new(store);
         for feed in Feed::ALL {
-            let shared = self.shared.clone();
-            let clock = self.shared.clone();
-            let sink = move |news| learn(&shared, feed, news);
-            let now = move || clock.now();
-            self.feeds.spawn(follow(store.clone(), feed, now, sink));
+            let direct = self.shared.direct.subscribe();
+            let reader = reader(&self.shared, store.clone());
+            self.feeds.spawn(follow(reader, feed, direct));
+        }
+        let relay = Relay::new(self.vm.member.vm, self.settings.domain.clone());
+        let seeds = self.settings.seeds.clone();
+        self.feeds
+            .spawn(ask_peers(self.shared.clone(), relay, seeds));
+        if self.settings.peer.is_some() {
+            self.feeds.spawn(keep_entry(store.clone(), self.vm.clone()));
+            let own = self.vm.member.vm;
+            self.feeds
+                .spawn(look_after_next(self.shared.clone(), store, own));
         }
         Ok(())
     }
@@ -351,27 +385,211 @@
     }
 }
 
-/// Takes in what following a feed told.
-fn learn(shared: &Shared, feed: Feed, news: News) {
-    let now = shared.now();
-    match news {
-        News::Changed(objects, through, skipped) => {
-            let mut steering = shared.steering();
-            for object in &objects {
-                steering.apply(now, object);
-            }
-            if feed == Feed::Routes {
-                steering.confirm(now);
+fn peer_client() -> Result<reqwest::Client> {
+    let client = reqwest::Client::builder().no_proxy();
+    client.build().map_err(no_bind)
+}
+
+/// This VM's entry: its address is its identity.
+fn own_entry(settings: &GatewaySettings) -> Vm {
+    let id = match settings.datagram.ip() {
+        IpAddr::V4(ip) => VmId(ip.into()),
+        IpAddr::V6(ip) => VmId(crate::rank::hash(&ip.octets()) as u32),
+    };
+    let peer = settings.peer.unwrap_or(settings.datagram);
+    Vm {
+        member: Member {
+            vm: id,
+            life: start_life(),
+        },
+        domain: settings.domain.clone(),
+        datagram: settings.datagram,
+        peer,
+        http: settings.ready,
+        state: State::Live,
+    }
+}
+
+/// Writes this VM's entry until the store has taken it.
+async fn keep_entry(store: Arc<Store>, vm: Vm) {
+    let mut failed = 0;
+    while let Err(error) = register(&store, Entry::Write(vm.clone())).await {
+        if failed == 0 {
+            log::warn!(target: "store", error = error.to_string().as_str();
+                "own entry not written yet");
+        }
+        failed += 1;
+        tokio::time::sleep(register_pause(failed)).await;
+    }
+}
+
+/// Removes the entry of the next VM in the ring if it is gone for good: nobody
+/// else would, since entries do not lapse.
+async fn look_after_next(shared: Arc<Shared>, store: Arc<Store>, own: VmId) {
+    let mut missed = (VmId(0), 0);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let next = relay::successor(own, lock(&shared.book).catalogue());
+        let Some(next) = next else {
+            continue;
+        };
+        let id = next.member.vm;
+        let question = Question {
+            from: lock(&shared.book).all_through(),
+            wait: Ms(0),
+        };
+        if exchange::ask(&shared.http, next.peer, &question)
+            .await
+            .is_ok()
+        {
+            missed = (id, 0);
+            continue;
+        }
+        missed = if missed.0 == id {
+            (id, missed.1 + 1)
+        } else {
+            (id, 1)
+        };
+        if missed.1 < LOOKS {
+            continue;
+        }
+        let version = lock(&shared.book)
+            .catalogue()
+            .version(&ObjectKey::new("vm", id));
+        match register(&store, Entry::Remove(id, version)).await {
+            Ok(()) => log::info!(target: "peer", vm = id.0; "entry of a VM that is gone removed"),
+            Err(error) => log::warn!(target: "peer", vm = id.0, error = error.to_string().as_str();
+                "entry of a VM that is gone not removed"),
+        }
+    }
+}
+
+fn peer_app(shared: Arc<Shared>) -> Router {
+    let changed = shared.changes.subscribe();
+    let update = move |question: &Question| {
+        let now = shared.now();
+        let book = lock(&shared.book);
+        let fresh = book.fresh_for(now, age_max) > Ms(0);
+        fresh.then(|| book.update(now, &question.from))
+    };
+    exchange::app(exchange::Source {
+        update: Box::new(update),
+        changed,
+    })
+}
+
+/// Asks peers for the catalogue, and has the store read while none knows it
+/// well enough.
+async fn ask_peers(shared: Arc<Shared>, mut relay: Relay, seeds: Vec<Address>) {
+    ask_seeds(&shared, &seeds).await;
+    let mut asked: Option<VmId> = None;
+    loop {
+        let now = shared.now();
+        let source = relay.source(now, lock(&shared.book).catalogue());
+        let next = source.as_ref().map(|vm| vm.member.vm);
+        if next != asked {
+            log::info!(target: "peer", from = asked.map_or(0, |v| v.0), to = next.map_or(0, |v| v.0);
+                "source of the catalogue changes; 0 is the store");
+            asked = next;
+        }
+        let Some(vm) = source else {
+            read_store(&shared, true);
+            tokio::time::sleep(Duration::from_millis(exchange::WAIT.0)).await;
+            continue;
+        };
+        let question = Question {
+            from: lock(&shared.book).all_through(),
+            wait: exchange::WAIT,
+        };
+        let fresh = lock(&shared.book).fresh_for(now, age_max);
+        let asked = exchange::ask(&shared.http, vm.peer, &question);
+        match within(fresh, asked).await {
+            Ok(update) => learn_from_peer(&shared, update),
+            Err(error) => {
+                relay.suspect(shared.now(), vm.member.vm);
+                log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
+                    "peer passed over for a while");
+                tokio::time::sleep(PEER_RETRY.min(Duration::from_millis(fresh.0))).await;
             }
-            drop(steering);
-            log_changes(feed, &objects, through, skipped);
-            if lock(&shared.complete).insert(feed) {
-                log::info!(target: "daemon", feed = feed.to_string().as_str(),
-                    objects = objects.len(), after_ms = now.0; "feed read");
+        }
+        let fresh = lock(&shared.book).fresh_for(shared.now(), age_max);
+        read_store(&shared, fresh == Ms(0));
+    }
+}
+
+/// Waits for a peer's answer while what is known is fresh, and at least for
+/// [`SEED_WAIT`].
+async fn within(
+    fresh: Ms,
+    asked: impl std::future::Future<Output = platform::Result<Update>>,
+) -> platform::Result<Update> {
+    let limit = Duration::from_millis(fresh.0).max(SEED_WAIT);
+    match tokio::time::timeout(limit, asked).await {
+        Ok(answer) => answer,
+        Err(_) => Err(platform::Error {
+            code: Code::NoPeer,
+            detail: format!("no answer within {limit:?}").into(),
+        }),
+    }
+}
+
+/// Starts or stops to read the store.
+fn read_store(shared: &Shared, on: bool) {
+    let changed = shared
+        .direct
+        .send_if_modified(|direct| std::mem::replace(direct, on) != on);
+    if changed {
+        log::info!(target: "peer", direct = on; "reads the store itself");
+    }
+}
+
+/// Asks all seeds at once, and goes on with the first answer, or without one.
+async fn ask_seeds(shared: &Arc<Shared>, seeds: &[Address]) {
+    let mut asked = JoinSet::new();
+    for seed in seeds.iter().copied() {
+        let http = shared.http.clone();
+        let question = Question {
+            from: Default::default(),
+            wait: Ms(0),
+        };
+        asked.spawn(async move { exchange::ask(&http, seed, &question).await });
+    }
+    let first = async {
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Ok(update)) = answer {
+                return Some(update);
             }
         }
-        News::Confirmed if feed == Feed::Routes => shared.steering().confirm(now),
-        News::Confirmed => {}
+        None
+    };
+    match tokio::time::timeout(SEED_WAIT, first).await {
+        Ok(Some(update)) => learn_from_peer(shared, update),
+        _ => read_store(shared, true),
+    }
+}
+
+fn learn_from_peer(shared: &Shared, update: Update) {
+    let now = shared.now();
+    let fresh = lock(&shared.book).learn(now, update);
+    adopt(shared, &fresh, 0);
+}
+
+/// Ends of what follows the store: the book, and what becomes of its changes.
+fn reader(shared: &Arc<Shared>, store: Arc<Store>) -> Reader {
+    let clock = shared.clone();
+    let told = shared.clone();
+    Reader {
+        store,
+        book: shared.book.clone(),
+        clock: Box::new(move || clock.now()),
+        tell: Box::new(move |feed, news| hear(&told, feed, news)),
+    }
+}
+
+/// Takes in what following a feed told.
+fn hear(shared: &Shared, feed: Feed, news: News) {
+    match news {
+        News::Changed(objects, skipped) => adopt(shared, &objects, skipped),
         News::Lost(error) => {
             count(&shared.counters.calls_failed);
             if lock(&shared.lost).insert(feed) {
@@ -388,17 +606,35 @@
     }
 }
 
+/// Steers by changed objects and wakes peers that wait for a change.
+fn adopt(shared: &Shared, objects: &[Object], skipped: usize) {
+    let now = shared.now();
+    let confirmed = lock(&shared.book).confirmed(Feed::Routes);
+    let mut steering = shared.steering();
+    for object in objects {
+        steering.apply(now, object);
+    }
+    if let Some(at) = confirmed {
+        steering.confirm(at);
+    }
+    drop(steering);
+    if !objects.is_empty() {
+        shared.changes.send_modify(|n| *n += 1);
+    }
+    log_changes(objects, skipped);
+}
+
 /// Changes that are logged one by one; more than these are only counted.
 const CHANGES_LOGGED: usize = 20;
 
-fn log_changes(feed: Feed, objects: &[Object], through: Version, skipped: usize) {
+fn log_changes(objects: &[Object], skipped: usize) {
     if skipped > 0 {
-        log::warn!(target: "catalogue", feed = feed.to_string().as_str(), skipped = skipped,
-            through = through.0; "entries that cannot be used");
+        log::warn!(target: "catalogue", skipped = skipped; "entries that cannot be used");
     }
     if objects.len() > CHANGES_LOGGED {
-        log::info!(target: "catalogue", feed = feed.to_string().as_str(),
-            objects = objects.len(), through = through.0; "many changes");
+        let newest = objects.iter().map(|o| o.version.0).max();
+        log::info!(target: "catalogue", objects = objects.len(), newest = newest.unwrap_or(0);
+            "many changes");
         return;
     }
     for object in objects {
@@ -409,7 +645,7 @@
             _ => "Set".into(),
         };
         log::info!(target: "catalogue", object = object.key.to_string().as_str(),
-            version = object.version.0, state = state.as_str(), through = through.0; "changed");
+            version = object.version.0, state = state.as_str(); "changed");
     }
 }
 
--- a/burdocklever/src/gateway_settings.rs
+++ b/burdocklever/src/gateway_settings.rs
@@ -20,6 +20,10 @@
     pub datagram: Address,
     /// Where the fabric asks whether the VM takes packets.
     pub ready: Address,
+    /// Where other gateways ask for the catalogue; none if the VM is alone.
+    pub peer: Option<Address>,
+    /// Gateways to ask first; some may be gone.
+    pub seeds: Vec<Address>,
     /// Where metrics are served; none if not given.
     pub metrics: Option<Address>,
     /// Address of the platform's store.
@@ -46,7 +50,9 @@
     KeyRule::new("vm", "domain", true),
     KeyRule::new("listen", "datagram", true),
     KeyRule::new("listen", "ready", true),
+    KeyRule::new("listen", "peer", false),
     KeyRule::new("listen", "metrics", false),
+    KeyRule::new("peers", "seeds", false),
     KeyRule::new("platform", "address", true),
     KeyRule::new("limits", "leave", false),
     KeyRule::new("limits", "heartbeat", false),
@@ -89,7 +95,9 @@
     let domain = source.value("vm", "domain", "a name of a-z, 0-9 and -");
     let datagram = source.address("listen", "datagram");
     let ready = source.address("listen", "ready");
+    let peer = source.address("listen", "peer");
     let metrics = source.address("listen", "metrics");
+    let seeds = seeds(source);
     let platform = source.address("platform", "address");
     let leave = source.value("limits", "leave", time);
     let heartbeat = source.value("limits", "heartbeat", time);
@@ -98,11 +106,16 @@
     if ready.is_some() && ready == metrics {
         source.fault("listen", "metrics", "same address as `ready`");
     }
+    if peer.is_some() && (peer == ready || peer == metrics) {
+        source.fault("listen", "peer", "same address as `ready` or `metrics`");
+    }
     Some(GatewaySettings {
         name: name?,
         domain: domain?,
         datagram: datagram?,
         ready: ready?,
+        peer,
+        seeds,
         metrics,
         platform: platform?,
         leave: leave.unwrap_or(LEAVE_DEFAULT),
@@ -111,3 +124,15 @@
         level: level.unwrap_or(LevelFilter::Info),
     })
 }
+
+/// Addresses separated by commas.
+fn seeds(source: &mut Source) -> Vec<Address> {
+    let text = source.text("peers", "seeds").unwrap_or_default();
+    let parts = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    let parsed: Vec<Option<Address>> = parts.map(|s| s.parse().ok()).collect();
+    if parsed.iter().any(Option::is_none) {
+        let fault = format!("expected IP addresses and ports with commas between, found `{text}`");
+        source.fault("peers", "seeds", &fault);
+    }
+    parsed.into_iter().flatten().collect()
+}
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -521,7 +521,8 @@
                 .flows
                 .get(&segment.key())
                 .is_some_and(|f| f.repeats > 0);
-            if !(once && waits) && !target.signals.take_test(self.now) {
+            let kept = (once && waits) || target.signals.take_test(self.now);
+            if !kept {
                 self.forget(segment.key());
                 return Verdict::Reset(Code::FlowEnded);
             }
--- a/burdocklever/src/store.rs
+++ b/burdocklever/src/store.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use wire::{Object, Version};
+use wire::{Object, ObjectKey, Version, Vm, VmId};
 
 use crate::platform::Result;
 use crate::time::Ms;
@@ -22,11 +22,28 @@
     Domains,
     /// Targets.
     Hosts,
+    /// Entry VMs.
+    Vms,
 }
 
 impl Feed {
-    /// All feeds.
-    pub const ALL: [Feed; 3] = [Feed::Routes, Feed::Domains, Feed::Hosts];
+    /// Number of feeds.
+    pub const COUNT: usize = 4;
+    /// All feeds, in the order of their numbers.
+    pub const ALL: [Feed; Feed::COUNT] = [Feed::Routes, Feed::Domains, Feed::Hosts, Feed::Vms];
+    /// Feeds that a VM needs before it takes packets.
+    pub const NEEDED: [Feed; 3] = [Feed::Routes, Feed::Domains, Feed::Hosts];
+
+    /// Feed that an object belongs to.
+    pub fn of(key: &ObjectKey) -> Option<Feed> {
+        match &*key.kind {
+            "route" | "pool" => Some(Feed::Routes),
+            "domain" => Some(Feed::Domains),
+            "host" => Some(Feed::Hosts),
+            "vm" => Some(Feed::Vms),
+            _ => None,
+        }
+    }
 }
 
 impl fmt::Display for Feed {
@@ -35,6 +52,7 @@
             Feed::Routes => "routes",
             Feed::Domains => "domains",
             Feed::Hosts => "hosts",
+            Feed::Vms => "vms",
         })
     }
 }
@@ -64,10 +82,21 @@
 }
 
 /// A call in progress.
-pub type Call = Pin<Box<dyn Future<Output = Result<Page>> + Send>>;
+pub type Call<T> = Pin<Box<dyn Future<Output = Result<T>> + Send>>;
+
+/// A change of this VM's own entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Entry {
+    /// Writes the entry, whatever stood there.
+    Write(Vm),
+    /// Removes an entry if it still has the version.
+    Remove(VmId, Version),
+}
 
-/// A store that can be read.
+/// A store. Each call takes no longer than the given time.
 pub struct Store {
-    /// Makes one call, which takes no longer than the given time.
-    pub call: Box<dyn Fn(Feed, Ask, Ms) -> Call + Send + Sync>,
+    /// Reads a feed.
+    pub read: Box<dyn Fn(Feed, Ask, Ms) -> Call<Page> + Send + Sync>,
+    /// Changes the entry of a VM.
+    pub write: Box<dyn Fn(Entry, Ms) -> Call<()> + Send + Sync>,
 }
--- /dev/null
+++ b/burdocklever/tests/book.rs
@@ -0,0 +1,192 @@
+//! What a gateway knows: outages, forgotten history, and what peers tell.
+
+use burdocklever::{Book, Feed, Ms, Time};
+use wire::{Body, Host, HostId, Incarnation, Object, ObjectKey, State, Version};
+
+fn host(id: u64, version: u64) -> Object {
+    let host = Host {
+        id: HostId(id),
+        service: "ledger".parse().unwrap(),
+        domain: "accra".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        state: State::Live,
+        life: Incarnation(1),
+        cold_ms: 0,
+        slots: 2,
+    };
+    Object {
+        key: ObjectKey::new("host", id),
+        version: Version(version),
+        change: 0,
+        body: Body::Host(host),
+    }
+}
+
+fn removed(id: u64, version: u64) -> Object {
+    Object {
+        body: Body::Removed,
+        ..host(id, version)
+    }
+}
+
+fn names(list: &[Object]) -> Vec<String> {
+    let sign = |o: &Object| if o.body == Body::Removed { '-' } else { '+' };
+    list.iter()
+        .map(|o| format!("{}{}", sign(o), o.key.name))
+        .collect()
+}
+
+const AT: Time = Time(1000);
+const HOSTS: Feed = Feed::Hosts;
+
+fn two_hosts() -> Book {
+    let mut book = Book::default();
+    book.replace(AT, HOSTS, vec![host(1, 5), host(2, 6)], Version(6));
+    book
+}
+
+#[test]
+fn a_list_removes_what_it_lacks() {
+    let mut book = two_hosts();
+    let changed = book.replace(AT, HOSTS, vec![host(2, 6)], Version(9));
+    assert_eq!(names(&changed), ["-1"]);
+    let again = book.replace(AT, HOSTS, vec![host(1, 10), host(2, 6)], Version(10));
+    assert_eq!(names(&again), ["+1"], "it may come back");
+}
+
+#[test]
+fn nothing_goes_back_a_version() {
+    let mut book = two_hosts();
+    book.change(AT, HOSTS, vec![host(1, 9)], Version(9));
+    let changed = book.change(AT, HOSTS, vec![host(1, 7), removed(1, 8)], Version(8));
+    assert_eq!(names(&changed), [""; 0]);
+    let changed = book.replace(AT, HOSTS, vec![host(2, 6)], Version(8));
+    assert_eq!(
+        names(&changed),
+        [""; 0],
+        "the list is older than what is known"
+    );
+    assert_eq!(book.through(HOSTS), Some(Version(9)));
+}
+
+#[test]
+fn targets_that_lapsed_in_an_outage_are_kept_for_a_time_of_grace() {
+    let mut book = two_hosts();
+    book.lost(HOSTS);
+    assert!(book.regained(AT, HOSTS));
+    let changed = book.change(AT, HOSTS, vec![removed(1, 7), removed(2, 8)], Version(8));
+    assert_eq!(names(&changed), [""; 0]);
+    book.change(AT + Ms(1000), HOSTS, vec![host(1, 9)], Version(9));
+    assert_eq!(names(&book.due(AT + Ms(2199), HOSTS)), [""; 0]);
+    assert_eq!(names(&book.due(AT + Ms(2200), HOSTS)), ["-2"]);
+    assert_eq!(names(&book.due(AT + Ms(2300), HOSTS)), [""; 0]);
+}
+
+#[test]
+fn without_an_outage_a_removal_holds_at_once() {
+    let mut book = two_hosts();
+    assert!(!book.regained(AT, HOSTS));
+    let changed = book.change(AT, HOSTS, vec![removed(1, 7)], Version(7));
+    assert_eq!(names(&changed), ["-1"]);
+}
+
+#[test]
+fn a_peer_learns_what_it_lacks_and_how_old_it_is() {
+    let mut book = two_hosts();
+    book.change(AT, HOSTS, vec![removed(1, 7)], Version(7));
+    let mut other = Book::default();
+    let update = book.update(AT + Ms(300), &other.all_through());
+    assert_eq!(update.whole, [false; Feed::COUNT]);
+    assert_eq!(names(&update.objects), ["-1", "+2"]);
+    // The peer's clock differs.
+    let changed = other.learn(Time(50_000), update);
+    assert_eq!(names(&changed), ["-1", "+2"]);
+    assert_eq!(other.through(HOSTS), Some(Version(7)));
+    assert_eq!(other.confirmed(HOSTS), Some(Time(49_700)));
+    assert!(
+        !other.is_complete(),
+        "routes and failure domains are not known"
+    );
+    let update = book.update(AT, &other.all_through());
+    assert_eq!(names(&update.objects), [""; 0]);
+}
+
+#[test]
+fn a_peer_that_lacks_forgotten_removals_gets_everything() {
+    let mut book = two_hosts();
+    let mut other = Book::default();
+    other.learn(AT, book.update(AT, &other.all_through()));
+    book.change(AT, HOSTS, vec![removed(1, 7)], Version(7));
+    for id in 0..5000 {
+        let version = 10 + 2 * id;
+        let passing = [host(100 + id, version), removed(100 + id, version + 1)];
+        book.change(AT, HOSTS, passing.into(), Version(version + 1));
+    }
+    book.prune();
+    let update = book.update(AT, &other.all_through());
+    assert!(update.whole[HOSTS as usize]);
+    let changed = other.learn(AT, update);
+    assert!(names(&changed).contains(&"-1".to_string()));
+    let left = other.catalogue().all_hosts().map(|h| h.id.0);
+    assert_eq!(left.collect::<Vec<u64>>(), [2]);
+}
+
+/// Any order, loss and repetition of updates between three VMs that read the
+/// same store leaves none behind a version that it had, and all the same once
+/// each has asked the others.
+#[test]
+fn books_that_exchange_updates_never_go_back_and_agree() {
+    use rand::{Rng, SeedableRng};
+    for seed in 0..200 {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut truth: Vec<Object> = Vec::new();
+        let mut books = [Book::default(), Book::default(), Book::default()];
+        let mut revision = 1;
+        for step in 0..100 {
+            let now = Time(step * 100);
+            revision += 1;
+            let id = rng.random_range(0..8);
+            truth.retain(|o| o.key != ObjectKey::new("host", id));
+            if rng.random_bool(0.7) {
+                truth.push(host(id, revision));
+            }
+            let reader = rng.random_range(0..3);
+            if rng.random_bool(0.5) {
+                books[reader].replace(now, HOSTS, truth.clone(), Version(revision));
+                books[reader].listed(HOSTS, Version(revision));
+            }
+            let (from, to) = (rng.random_range(0..3), rng.random_range(0..3));
+            let before = books[to].all_through();
+            let update = books[from].update(now, &before);
+            let versions: Vec<(ObjectKey, Version)> = books[to]
+                .catalogue()
+                .objects()
+                .map(|o| (o.key.clone(), o.version))
+                .collect();
+            books[to].learn(now, update);
+            for (key, version) in versions {
+                assert!(
+                    books[to].catalogue().version(&key) >= version,
+                    "seed {seed}"
+                );
+            }
+            assert!(books[to].all_through() >= before, "seed {seed}");
+        }
+        let now = Time(20_000);
+        books[0].replace(now, HOSTS, truth.clone(), Version(revision));
+        books[0].listed(HOSTS, Version(revision));
+        for to in [1, 2] {
+            let update = books[0].update(now, &books[to].all_through());
+            books[to].learn(now, update);
+        }
+        let mut expected: Vec<u64> = truth.iter().map(|o| o.version.0).collect();
+        expected.sort_unstable();
+        for book in &books {
+            let hosts = book.catalogue().all_hosts();
+            let key = |h: &Host| ObjectKey::new("host", h.id);
+            let mut held: Vec<u64> = hosts.map(|h| book.catalogue().version(&key(h)).0).collect();
+            held.sort_unstable();
+            assert_eq!(held, expected, "seed {seed}");
+        }
+    }
+}
--- /dev/null
+++ b/burdocklever/tests/relay.rs
@@ -0,0 +1,107 @@
+//! Which VMs read the store, and whom the others ask.
+
+use burdocklever::{successor, Catalogue, Ms, Relay, Time};
+use wire::{Body, DomainId, Incarnation, Member, Object, ObjectKey, State, Version, Vm, VmId};
+
+const NOW: Time = Time(10_000);
+
+fn domain(n: u32) -> DomainId {
+    format!("domain-{n}").parse().unwrap()
+}
+
+fn fleet(size: u32) -> Catalogue {
+    let mut catalogue = Catalogue::default();
+    for n in 1..=size {
+        let address = wire::Address::from(([10, 0, (n >> 8) as u8, n as u8], 1));
+        let vm = Vm {
+            member: Member {
+                vm: VmId(n),
+                life: Incarnation(1),
+            },
+            domain: domain(n % 4),
+            datagram: address,
+            peer: address,
+            http: address,
+            state: State::Live,
+        };
+        catalogue.merge(Object {
+            key: ObjectKey::new("vm", n),
+            version: Version(n.into()),
+            change: 0,
+            body: Body::Vm(vm),
+        });
+    }
+    catalogue
+}
+
+fn source(catalogue: &Catalogue, own: u32) -> Option<u32> {
+    let relay = Relay::new(VmId(own), domain(own % 4));
+    relay.source(NOW, catalogue).map(|vm| vm.member.vm.0)
+}
+
+#[test]
+fn readers_of_the_store_grow_far_slower_than_the_fleet() {
+    for (size, expected) in [(1, 1), (9, 2), (61, 3), (300, 11), (5200, 164)] {
+        let catalogue = fleet(size);
+        let readers = (1..=size).filter(|n| source(&catalogue, *n).is_none());
+        assert_eq!(readers.count(), expected, "fleet of {size}");
+    }
+}
+
+#[test]
+fn the_others_ask_a_reader_of_their_failure_domain_if_there_is_one() {
+    let catalogue = fleet(300);
+    let readers: Vec<u32> = (1..=300)
+        .filter(|n| source(&catalogue, *n).is_none())
+        .collect();
+    let mut load = std::collections::BTreeMap::new();
+    for own in 1..=300 {
+        let Some(asked) = source(&catalogue, own) else {
+            continue;
+        };
+        assert!(readers.contains(&asked));
+        let near = readers.iter().any(|r| r % 4 == own % 4);
+        assert!(!near || asked % 4 == own % 4);
+        *load.entry(asked).or_insert(0) += 1;
+    }
+    assert!(load.values().all(|n| *n <= 100), "{load:?}");
+}
+
+#[test]
+fn a_reader_that_fails_is_passed_over_for_a_while() {
+    let catalogue = fleet(9);
+    let own = (1..=9).find(|n| source(&catalogue, *n).is_some()).unwrap();
+    let mut relay = Relay::new(VmId(own), domain(own % 4));
+    let first = relay.source(NOW, &catalogue).unwrap().member.vm;
+    relay.suspect(NOW, first);
+    let second = relay.source(NOW, &catalogue).map(|vm| vm.member.vm);
+    assert_ne!(second, Some(first));
+    let later = NOW + Ms(5000);
+    let again = relay.source(later, &catalogue).map(|vm| vm.member.vm);
+    assert_eq!(again, Some(first));
+}
+
+#[test]
+fn when_all_others_fail_a_vm_reads_the_store_itself() {
+    let catalogue = fleet(9);
+    for own in 1..=9 {
+        let mut relay = Relay::new(VmId(own), domain(own % 4));
+        for n in 1..=9 {
+            if n != own {
+                relay.suspect(NOW, VmId(n));
+            }
+        }
+        assert!(relay.source(NOW, &catalogue).is_none());
+    }
+}
+
+#[test]
+fn each_vm_is_looked_after_by_one_other() {
+    let catalogue = fleet(9);
+    let mut looked: Vec<u32> = (1..=9)
+        .map(|n| successor(VmId(n), &catalogue).unwrap().member.vm.0)
+        .collect();
+    looked.sort_unstable();
+    assert_eq!(looked, [1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    assert!(successor(VmId(1), &fleet(1)).is_none());
+}
