--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -37,6 +37,9 @@
 /// target has left the list. One packet in some ten thousand is lost.
 const REPEATS_LISTED: u8 = 2;
 const REPEATS_LEFT: u8 = 1;
+/// Flows of a silent target that each repeated once, enough to give it up: two
+/// packets lost independently within one silence are as rare as one lost twice.
+const REPEATERS: u32 = 2;
 /// Targets that the copies of one opening packet may go to.
 const TRIES: usize = 3;
 
@@ -739,12 +742,14 @@
     flow.data = now;
     flow.repeats = flow.repeats.saturating_add(1);
     signals.repeated(now);
+    let several = flow.repeats == 1 && signals.add_repeater() >= REPEATERS;
     let enough = match target.left {
         Some(_) => REPEATS_LEFT,
         None => REPEATS_LISTED,
     };
     let asked = flow.asked.unwrap_or(now);
-    flow.asked.is_some() && flow.repeats >= enough && signals.is_silent_since(asked)
+    let shown = several || flow.repeats >= enough;
+    flow.asked.is_some() && shown && signals.is_silent_since(asked)
 }
 
 /// The last packet that a flow's caller sent, as far as it is remembered.
--- a/burdocklever/tests/steer.rs
+++ b/burdocklever/tests/steer.rs
@@ -346,6 +346,19 @@
     assert_eq!(world.open(10), Some(HostId(2)));
 }
 
+#[test]
+fn two_flows_that_repeat_once_are_as_sure_as_one_that_repeats_twice() {
+    let mut world = a_silent_target();
+    world.pass(100);
+    world.ask(2, HostId(1));
+    world.pass(100);
+    assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
+    world.pass(100);
+    let verdict = world.ask(2, HostId(1));
+    assert_eq!(verdict, Verdict::Reset(Code::FlowEnded));
+    assert_eq!(world.resets(), [1, 3, 4]);
+}
+
 #[test]
 fn a_target_that_left_the_list_is_given_up_at_the_first_repeat() {
     let mut world = a_silent_target();
