Send flows of a full service to the route's other one

Change: the weights of a route hold while there is room; a service is full when its least loaded target is, as seen by all VMs of the failure domain together.

--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -16,7 +16,7 @@
 use axum::Router;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinSet;
-use wire::{Address, Body, HostId, Member, Object, ObjectKey, State, Vm, VmId};
+use wire::{Address, Body, DomainId, HostId, Member, Object, ObjectKey, State, Vm, VmId};
 
 use crate::book::{Book, Update};
 use crate::code::Code;
@@ -99,6 +99,7 @@
     http: reqwest::Client,
     socket: UdpSocket,
     own: Address,
+    domain: DomainId,
     codec: Codec,
     started: Instant,
     stopping: AtomicBool,
@@ -163,6 +164,7 @@
             http: peer_client()?,
             socket,
             own: settings.datagram,
+            domain: settings.domain.clone(),
             codec,
             started: Instant::now(),
             stopping: AtomicBool::new(false),
@@ -609,8 +611,12 @@
 /// Steers by changed objects and wakes peers that wait for a change.
 fn adopt(shared: &Shared, objects: &[Object], skipped: usize) {
     let now = shared.now();
-    let confirmed = lock(&shared.book).confirmed(Feed::Routes);
+    let book = lock(&shared.book);
+    let confirmed = book.confirmed(Feed::Routes);
+    let peers = book.catalogue().vms_in(&shared.domain).count();
+    drop(book);
     let mut steering = shared.steering();
+    steering.set_peers(peers as u32);
     for object in objects {
         steering.apply(now, object);
     }
--- a/burdocklever/src/place.rs
+++ b/burdocklever/src/place.rs
@@ -29,8 +29,7 @@
     pub(crate) load: u32,
     /// Mean time to the first byte of an answer.
     pub(crate) answer: Ms,
-    /// Whether this VM alone has as many requests without an answer there as
-    /// the target runs at once.
+    /// Whether requests seem to queue there, from [`is_busy`].
     pub(crate) busy: bool,
     /// Breaks ties; differs from flow to flow.
     pub(crate) tie: u64,
@@ -44,6 +43,18 @@
     pub(crate) near: u32,
     pub(crate) far: u32,
     pub(crate) suspects: u32,
+    /// Whether the target is full all the same.
+    pub(crate) full: bool,
+}
+
+/// Rounds of requests that a target may have at hand before it counts as busy:
+/// one that runs and one that waits for it.
+const ROUNDS: u32 = 2;
+
+/// Whether requests queue at a target where this VM has seen `waiting` of them
+/// without an answer. The `peers` VMs of the failure domain see as many each.
+pub(crate) fn is_busy(waiting: u32, peers: u32, slots: u32) -> bool {
+    waiting > 0 && waiting.saturating_mul(peers.max(1)) >= slots.max(1) * ROUNDS
 }
 
 /// Load of a target that has `flows` open, `waiting` of them without an answer.
@@ -71,6 +82,7 @@
         near: count(&|c| c.near && !c.suspect),
         far: count(&|c| !c.near && !c.suspect),
         suspects: count(&|c| c.suspect),
+        full: best.suspect || is_full(best, goal),
     })
 }
 
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -142,6 +142,8 @@
 pub struct Steering {
     home: DomainId,
     bounds: Bounds,
+    /// VMs of this failure domain.
+    peers: u32,
     now: Time,
     confirmed: Option<Time>,
     routes: HashMap<Address, Route>,
@@ -160,6 +162,7 @@
         Steering {
             home,
             bounds,
+            peers: 1,
             now: Time(0),
             confirmed: None,
             routes: HashMap::new(),
@@ -178,6 +181,11 @@
         self.bounds = bounds;
     }
 
+    /// Sets the number of VMs in this failure domain, this one included.
+    pub fn set_peers(&mut self, peers: u32) {
+        self.peers = peers;
+    }
+
     /// Takes in that the routes known now were in force at `now`.
     pub fn confirm(&mut self, now: Time) {
         self.confirmed = Some(self.confirmed.map_or(now, |t| t.max(now)));
@@ -467,11 +475,16 @@
             .iter()
             .map(|(service, weight)| (*service, *service as u64, *weight))
             .collect();
-        let services = rank::weighted(key.0, &shares);
-        services.into_iter().find_map(|service| {
+        let choose = |service| {
             let list = self.candidates(service, key, tried);
             place::choose(&list, route.goal)
-        })
+        };
+        // The weights say where flows go while there is room. A flow of a full
+        // service goes to the route's next one that has some.
+        let services = rank::weighted(key.0, &shares);
+        let choices: Vec<Choice> = services.into_iter().filter_map(choose).collect();
+        let roomy = choices.iter().find(|c| !c.full).or(choices.first());
+        roomy.copied()
     }
 
     fn candidates(&self, service: usize, key: FlowKey, tried: &[usize]) -> Vec<Candidate> {
@@ -490,7 +503,7 @@
                 suspect: suspect || tried.contains(i),
                 load: place::load(signals.flows, signals.waiting, target.slots),
                 answer: signals.answer_time(),
-                busy: signals.waiting >= target.slots.max(1),
+                busy: place::is_busy(signals.waiting, self.peers, target.slots),
                 tie: rank::score(key.0, target.host.0),
             })
         };
--- a/burdocklever/tests/steer.rs
+++ b/burdocklever/tests/steer.rs
@@ -452,4 +452,37 @@
         waiting[host.0 as usize] += 1;
     }
     assert_eq!(waiting[1..], [4; 8], "each target runs two at once");
+    // Fifteen VMs of the failure domain see as much each.
+    let mut world = World::new();
+    world.steering.set_peers(15);
+    world.host(1, "ledger", "accra", |_| {});
+    world.host(2, "ledger", "tema", |_| {});
+    for caller in 1..=2 {
+        let host = world.open(caller).unwrap();
+        world.ask(caller, host);
+    }
+    assert_eq!(world.opened(5..7), [1, 2]);
+}
+
+/// A configuration sends half of a large route to a small service.
+#[test]
+fn flows_of_a_full_service_go_to_the_routes_other_one() {
+    let mut world = World::new();
+    world.pool("desk");
+    world.route("main", &["ledger", "desk"]);
+    for id in 1..=6 {
+        world.host(id, "ledger", "accra", |_| {});
+    }
+    world.host(7, "desk", "accra", |_| {});
+    let mut waiting = [0; 8];
+    for caller in 1..=28 {
+        let host = world.open(caller).unwrap();
+        world.ask(caller, host);
+        waiting[host.0 as usize] += 1;
+    }
+    assert_eq!(
+        waiting[1..],
+        [4; 7],
+        "no target queues more than the others"
+    );
 }
