Keep a VM from blaming targets for its own lateness

A watcher told 1136 routes of a grown configuration to each of its peers over a link of 10 Mbit/s; its packets queued, every target seemed silent, and it reset their flows.

A repeat counts only if no packet waited to be read after the last one could have been acknowledged; a target is given up only while some other target answers promptly. Routes are found by name instead of by a walk over all. Each target that is given up has a line in the log.

Found by tests on the way: dropping versions of unchanged objects lets an older removal undo them; an answer to an earlier question may be older than what is known.

--- a/burdocklever/src/book.rs
+++ b/burdocklever/src/book.rs
@@ -107,7 +107,8 @@
         was
     }
 
-    /// Takes in a feed's complete list. Returns what changed.
+    /// Takes in all of a feed's objects, as a list or as the news of a watch.
+    /// Returns what changed.
     pub fn replace(
         &mut self,
         now: Time,
@@ -123,6 +124,14 @@
         let absent = known.map(|o| &o.key).filter(|key| !listed.contains(key));
         let absent: Vec<ObjectKey> = absent.cloned().collect();
         let removals = absent.into_iter().map(|key| removed(key, through));
+        // A watch misses nothing, so what says nothing new is as old as it was,
+        // and peers need not be told.
+        let contiguous = feed == Feed::Routes && self.feeds[feed as usize].floor < through;
+        let known = |o: &Object| {
+            let known = self.catalogue.get(&o.key);
+            contiguous && known.is_some_and(|k| k.body == o.body)
+        };
+        let list = list.into_iter().filter(|o| !known(o));
         let changes = removals.chain(list).collect();
         self.change(now, feed, changes, through)
     }
@@ -199,8 +208,14 @@
         self.merge(removed(key, version))
     }
 
+    /// Merges an object. Returns it if it says anything new: each version of a
+    /// configuration tells all routes again. Its version counts all the same,
+    /// or an older removal could undo it.
     fn merge(&mut self, object: Object) -> Option<Object> {
-        self.catalogue.merge(object.clone()).then_some(object)
+        let known = self.catalogue.get(&object.key);
+        let same = known.is_some_and(|o| o.body == object.body);
+        let newer = self.catalogue.merge(object.clone());
+        (newer && !same).then_some(object)
     }
 
     /// What a peer lacks that knows each feed up to `from`.
@@ -225,7 +240,10 @@
         let listed: BTreeSet<&ObjectKey> = live.map(|u| &u.key).collect();
         let gone = |o: &&Object| {
             let feed = Feed::of(&o.key).map(|f| f as usize);
-            let told = feed.is_some_and(|i| update.whole[i] && o.version <= update.through[i]);
+            let told = feed.is_some_and(|i| {
+                let through = update.through[i];
+                update.whole[i] && o.version <= through && self.feeds[i].through <= through
+            });
             told && o.body != Body::Removed && !listed.contains(&o.key)
         };
         let gone: Vec<Object> = self.catalogue.objects().filter(gone).cloned().collect();
@@ -234,7 +252,11 @@
             fresh.extend(self.merge(removed(object.key, version)));
         }
         for object in update.objects {
-            fresh.extend(self.merge(object));
+            // A peer that knows less may have been asked before this VM knew more.
+            let feed = Feed::of(&object.key).map(|f| f as usize);
+            if feed.is_some_and(|i| update.through[i] >= self.feeds[i].through) {
+                fresh.extend(self.merge(object));
+            }
         }
         for feed in Feed::ALL {
             let i = feed as usize;
--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -90,6 +90,8 @@
     Throttled = 313, "platform refuses calls for now";
     /// Another entry VM does not answer, or knows nothing fresh.
     NoPeer = 320, "peer not reached";
+    /// Another entry VM has more to tell than its link should carry.
+    TooMuch = 321, "peer has too much to tell";
 }
 
 impl Code {
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -4,8 +4,9 @@
 //! for the reading of a large catalogue. All else runs on the caller's runtime.
 
 use std::collections::BTreeSet;
+use std::io::ErrorKind;
 use std::net::IpAddr;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -14,6 +15,7 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::Router;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::JoinSet;
 use wire::{Address, Body, DomainId, HostId, Member, Object, ObjectKey, State, Vm, VmId};
@@ -55,6 +57,8 @@
 /// cut off for, usually.
 const LOOK: Duration = Duration::from_secs(30);
 const LOOKS: u32 = 6;
+/// Time that a VM takes to read from the store what a peer would not tell.
+const CATCH_UP: Duration = Duration::from_millis(500);
 /// Pause before a peer is asked again after one failed.
 const PEER_RETRY: Duration = Duration::from_millis(100);
 
@@ -154,7 +158,17 @@
         codec: Codec,
         open_store: OpenStore,
     ) -> Result<Gateway> {
-        let socket = UdpSocket::bind(settings.datagram).map_err(no_bind)?;
+        let packets = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .build()
+            .map_err(no_bind)?;
+        let socket = {
+            // The socket belongs to the runtime that reads it.
+            let _guard = packets.enter();
+            let socket = std::net::UdpSocket::bind(settings.datagram).map_err(no_bind)?;
+            socket.set_nonblocking(true).map_err(no_bind)?;
+            UdpSocket::from_std(socket).map_err(no_bind)?
+        };
         let steering = Steering::new(settings.domain.clone(), bounds(&settings));
         let shared = Arc::new(Shared {
             steering: Mutex::new(steering),
@@ -186,10 +200,10 @@
             serve(address, peer_app(shared.clone())).await?;
         }
         gateway.follow_all()?;
-        let receiver = shared.clone();
+        let receiver = receive(shared.clone());
         std::thread::Builder::new()
             .name("packets".into())
-            .spawn(move || receive(&receiver))
+            .spawn(move || packets.block_on(receiver))
             .map_err(no_bind)?;
         serve(gateway.settings.ready, ready_app(shared.clone())).await?;
         if let Some(address) = gateway.settings.metrics {
@@ -507,6 +521,11 @@
         let asked = exchange::ask(&shared.http, vm.peer, &question);
         match within(fresh, asked).await {
             Ok(update) => learn_from_peer(&shared, update),
+            Err(error) if error.code == Code::TooMuch => {
+                read_store(&shared, true);
+                tokio::time::sleep(CATCH_UP).await;
+                continue;
+            }
             Err(error) => {
                 relay.suspect(shared.now(), vm.member.vm);
                 log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
@@ -656,34 +675,50 @@
 }
 
 /// Receives packets for ever.
-fn receive(shared: &Shared) {
+async fn receive(shared: Arc<Shared>) {
     let mut buffer = [0; PACKET_MAX];
     let mut out = Vec::with_capacity(PACKET_MAX);
     loop {
-        let length = match shared.socket.recv_from(&mut buffer) {
-            Ok((length, _)) => length,
+        match shared.socket.try_recv_from(&mut buffer) {
+            Ok((length, _)) => handle(&shared, &buffer[..length], &mut out),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                shared.steering().drained(shared.now());
+                if let Err(error) = shared.socket.readable().await {
+                    log::error!(target: "packet", error = error.to_string().as_str();
+                        "socket not readable any more");
+                    return;
+                }
+            }
+            // An ICMP error of an earlier send; nothing was received.
             Err(error) => {
-                // An ICMP error of an earlier send; nothing was received.
                 log::debug!(target: "packet", error = error.to_string().as_str(); "not received");
-                continue;
             }
-        };
-        let packet = &buffer[..length];
-        match (shared.codec.decode)(packet) {
-            Some(segment) => steer(shared, packet, &segment, &mut out),
-            None => count(&shared.counters.malformed),
         }
     }
 }
 
+fn handle(shared: &Shared, packet: &[u8], out: &mut Vec<u8>) {
+    match (shared.codec.decode)(packet) {
+        Some(segment) => steer(shared, packet, &segment, out),
+        None => count(&shared.counters.malformed),
+    }
+}
+
 fn steer(shared: &Shared, packet: &[u8], segment: &Segment, out: &mut Vec<u8>) {
     let now = shared.now();
     shared.last_packet.store(now.0, Ordering::Relaxed);
     let mut steering = shared.steering();
     let verdict = steering.packet(now, segment);
     let opening = steering.take_opening();
+    let given_up = steering.take_given_up();
     let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
     drop(steering);
+    if let Some(g) = given_up {
+        log::warn!(target: "target", host = g.host.0, flow = flow_id(segment).as_str(),
+            silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
+            repeats = g.repeats, asked_ms = g.asked.0, listed = g.listed, flows = g.flows;
+            "target given up, its quiet flows are reset");
+    }
     for segment in &ended {
         reset(shared, segment, Code::FlowEnded, out);
     }
@@ -722,7 +757,7 @@
 }
 
 fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
-    if let Err(error) = shared.socket.send_to(packet, to) {
+    if let Err(error) = shared.socket.try_send_to(packet, to) {
         count(&shared.counters.unsent);
         log::warn!(target: "packet", to = to.to_string().as_str(),
             error = error.to_string().as_str(); "not sent");
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -95,7 +95,7 @@
 pub use settings::Settings;
 pub use source::Error as SourceError;
 pub use status::Status;
-pub use steer::{Bounds, Opening, Steering};
+pub use steer::{Bounds, GivenUp, Opening, Steering};
 pub use store::{Ask, Call, Entry, Feed, Page, Store};
 pub use time::{Ms, Time};
 pub use token::Token;
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -33,6 +33,14 @@
 /// Shortest time between a packet and its repetition. Callers wait 200 ms; what
 /// comes sooner was overtaken on the way, or read late by this VM.
 const REPEAT_MIN: Ms = Ms(150);
+/// Time in which an end acknowledges data: a trip there and back, and the pause
+/// for which an end may hold an acknowledgement back.
+const ACKNOWLEDGE: Ms = Ms(100);
+/// Answer time that shows that this VM's own links are free. A VM whose packets
+/// queue at its link for longer would take targets that answer for dead ones.
+const PROMPT: Ms = Ms(150);
+/// Time within which some target must have answered promptly.
+const PROMPT_SEEN: Ms = Ms(300);
 /// Repeats that a silent target's flow needs to be given up, and fewer if the
 /// target has left the list. One packet in some ten thousand is lost.
 const REPEATS_LISTED: u8 = 2;
@@ -69,6 +77,23 @@
     pub copy: u32,
 }
 
+/// A target that was given up, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The target.
+    pub host: HostId,
+    /// Time since its last sign of life; none if there was none.
+    pub silent: Option<Ms>,
+    /// Repeats of the flow that showed it.
+    pub repeats: u8,
+    /// Time since the request that the flow repeats.
+    pub asked: Ms,
+    /// Whether the target is still on the list.
+    pub listed: bool,
+    /// Quiet flows that are reset.
+    pub flows: usize,
+}
+
 #[derive(Debug)]
 struct Target {
     host: HostId,
@@ -146,7 +171,12 @@
     peers: u32,
     now: Time,
     confirmed: Option<Time>,
+    /// Last time that no packet waited to be read.
+    drained: Time,
+    /// Last prompt answer of any target.
+    prompt: Option<Time>,
     routes: HashMap<Address, Route>,
+    names: HashMap<Box<str>, Address>,
     services: Vec<Service>,
     domains: Vec<Domain>,
     targets: Vec<Target>,
@@ -154,6 +184,7 @@
     flows: HashMap<FlowKey, Flow>,
     opening: Option<Opening>,
     resets: Vec<Segment>,
+    given_up: Option<GivenUp>,
 }
 
 impl Steering {
@@ -165,7 +196,10 @@
             peers: 1,
             now: Time(0),
             confirmed: None,
+            drained: Time(0),
+            prompt: None,
             routes: HashMap::new(),
+            names: HashMap::new(),
             services: Vec::new(),
             domains: Vec::new(),
             targets: Vec::new(),
@@ -173,6 +207,7 @@
             flows: HashMap::new(),
             opening: None,
             resets: Vec::new(),
+            given_up: None,
         }
     }
 
@@ -181,6 +216,12 @@
         self.bounds = bounds;
     }
 
+    /// Takes in that no packet waits to be read. Until then, the lack of an
+    /// acknowledgement may only show that this VM is late.
+    pub fn drained(&mut self, now: Time) {
+        self.drained = self.drained.max(now);
+    }
+
     /// Sets the number of VMs in this failure domain, this one included.
     pub fn set_peers(&mut self, peers: u32) {
         self.peers = peers;
@@ -213,6 +254,11 @@
         self.opening.take()
     }
 
+    /// The target that the last packet showed to be dead.
+    pub fn take_given_up(&mut self) -> Option<GivenUp> {
+        self.given_up.take()
+    }
+
     /// A flow to reset although its caller sent nothing: the last packet that
     /// it might have sent.
     pub fn pull_reset(&mut self) -> Option<Segment> {
@@ -266,11 +312,16 @@
             once: route.once,
             removed: false,
         };
+        self.names.insert(name.into(), route.address);
         self.routes.insert(route.address, route_state);
     }
 
     fn remove_route(&mut self, name: &str) {
-        for route in self.routes.values_mut().filter(|r| *r.name == *name) {
+        let Some(address) = self.names.remove(name) else {
+            return;
+        };
+        let route = self.routes.get_mut(&address);
+        if let Some(route) = route.filter(|r| *r.name == *name) {
             route.removed = true;
         }
     }
@@ -580,17 +631,21 @@
         };
         let target = &mut self.targets[index];
         flow.seen = now;
-        hear(now, segment, flow, &mut target.signals);
+        let took = hear(now, segment, flow, &mut target.signals);
+        if took.is_some_and(|took| took <= PROMPT) {
+            self.prompt = Some(now);
+        }
         let mut dead = false;
         if segment.len > 0 && known {
-            dead = note_data(now, segment, flow, target);
+            dead = note_data(now, self.drained, segment, flow, target);
         }
         if segment.mark == Stage::Close && flow.stage != Stage::Close {
             release(&mut target.signals, flow);
             flow.stage = Stage::Close;
             flow.asked = None;
         }
-        if dead {
+        let prompt = self.prompt.is_some_and(|at| now.since(at) <= PROMPT_SEEN);
+        if dead && prompt {
             self.give_up(index, key);
         }
     }
@@ -605,6 +660,17 @@
         }
         target.signals.give_up(self.now);
         let token = target.token;
+        let shown = self.flows.get(&cause);
+        let given_up = GivenUp {
+            host: target.host,
+            silent: target.signals.silence(self.now),
+            repeats: shown.map_or(0, |f| f.repeats),
+            asked: Ms(shown
+                .and_then(|f| f.asked)
+                .map_or(0, |at| self.now.since(at).0)),
+            listed: target.left.is_none(),
+            flows: 0,
+        };
         let routes = &self.routes;
         let ends = |(key, flow): &(&FlowKey, &Flow)| {
             let once = routes.get(&flow.service).is_some_and(|r| r.once);
@@ -613,6 +679,10 @@
         };
         let mut ended: Vec<FlowKey> = self.flows.iter().filter(ends).map(|(k, _)| *k).collect();
         ended.sort_unstable();
+        self.given_up = Some(GivenUp {
+            flows: ended.len(),
+            ..given_up
+        });
         for key in ended {
             if let Some(flow) = self.flows.get(&key) {
                 self.resets.push(last_segment(flow, token));
@@ -712,14 +782,15 @@
     }
 }
 
-/// Takes in what a later packet says of the target's answers.
-fn hear(now: Time, segment: &Segment, flow: &mut Flow, signals: &mut Signals) {
+/// Takes in what a later packet says of the target's answers. Returns how long
+/// an answer took whose first byte it acknowledges.
+fn hear(now: Time, segment: &Segment, flow: &mut Flow, signals: &mut Signals) -> Option<Ms> {
     if flow.stage == Stage::Open {
         signals.heard(now);
         flow.stage = Stage::Within;
         flow.acked = segment.ack;
         flow.sent = segment.seq;
-        return;
+        return None;
     }
     let answered = is_after(segment.ack, flow.acked);
     // A packet without data acknowledges one that has just arrived.
@@ -727,17 +798,24 @@
         signals.heard(now);
         flow.repeats = 0;
     }
-    if answered {
-        flow.acked = segment.ack;
-        if let Some(at) = flow.asked.take() {
-            signals.answered(now.since(at));
-            signals.waiting = signals.waiting.saturating_sub(1);
-        }
+    if !answered {
+        return None;
     }
+    flow.acked = segment.ack;
+    let took = now.since(flow.asked.take()?);
+    signals.answered(took);
+    signals.waiting = signals.waiting.saturating_sub(1);
+    Some(took)
 }
 
 /// Takes in a packet with data. Returns whether it shows that the target died.
-fn note_data(now: Time, segment: &Segment, flow: &mut Flow, target: &mut Target) -> bool {
+fn note_data(
+    now: Time,
+    drained: Time,
+    segment: &Segment,
+    flow: &mut Flow,
+    target: &mut Target,
+) -> bool {
     let signals = &mut target.signals;
     let end = segment.seq.wrapping_add(segment.len);
     if is_after(end, flow.sent) {
@@ -749,7 +827,7 @@
         flow.repeats = 0;
         return false;
     }
-    if now.since(flow.data) < REPEAT_MIN {
+    if now.since(flow.data) < REPEAT_MIN || drained < flow.data + ACKNOWLEDGE {
         return false;
     }
     flow.data = now;
--- a/burdocklever/tests/book.rs
+++ b/burdocklever/tests/book.rs
@@ -131,6 +131,17 @@
     assert_eq!(left.collect::<Vec<u64>>(), [2]);
 }
 
+#[test]
+fn objects_that_say_nothing_new_change_nothing() {
+    let mut book = two_hosts();
+    let list = vec![host(1, 9), host(2, 9)];
+    assert_eq!(names(&book.replace(AT, HOSTS, list, Version(9))), [""; 0]);
+    let late = book.change(AT, HOSTS, vec![removed(1, 8)], Version(9));
+    assert_eq!(names(&late), [""; 0], "it was seen after that");
+    let changed = book.change(AT, HOSTS, vec![removed(1, 10)], Version(10));
+    assert_eq!(names(&changed), ["-1"]);
+}
+
 /// Any order, loss and repetition of updates between three VMs that read the
 /// same store leaves none behind a version that it had, and all the same once
 /// each has asked the others.
@@ -148,7 +159,11 @@
             let id = rng.random_range(0..8);
             truth.retain(|o| o.key != ObjectKey::new("host", id));
             if rng.random_bool(0.7) {
-                truth.push(host(id, revision));
+                let mut object = host(id, revision);
+                if let Body::Host(host) = &mut object.body {
+                    host.life = Incarnation(rng.random_range(0..3));
+                }
+                truth.push(object);
             }
             let reader = rng.random_range(0..3);
             if rng.random_bool(0.5) {
@@ -190,3 +205,52 @@
         }
     }
 }
+
+fn route(name: &str, goal: u64, version: u64) -> Object {
+    let route = wire::Route {
+        address: "198.18.0.1:443".parse().unwrap(),
+        shares: Vec::new(),
+        once: false,
+        rank: 1,
+        deadline_ms: 2000,
+        goal_ms: goal,
+    };
+    Object {
+        key: ObjectKey::new("route", name),
+        version: Version(version),
+        change: 0,
+        body: Body::Route(route),
+    }
+}
+
+#[test]
+fn peers_are_told_only_the_routes_that_changed() {
+    let routes = Feed::Routes;
+    let mut book = Book::default();
+    book.listed(routes, Version(5));
+    book.replace(
+        AT,
+        routes,
+        vec![route("a", 1, 5), route("b", 1, 5)],
+        Version(5),
+    );
+    let mut other = Book::default();
+    other.learn(AT, book.update(AT, &other.all_through()));
+    let changed = book.replace(
+        AT,
+        routes,
+        vec![route("a", 1, 9), route("b", 2, 9)],
+        Version(9),
+    );
+    assert_eq!(names(&changed), ["+b"]);
+    let update = book.update(AT, &other.all_through());
+    assert_eq!(names(&update.objects), ["+b"]);
+    other.learn(AT, update);
+    assert_eq!(other.through(routes), Some(Version(9)));
+    // An answer to a question of before.
+    let mut late = Book::default();
+    late.listed(routes, Version(7));
+    late.replace(AT, routes, vec![route("b", 1, 7)], Version(7));
+    let changed = other.learn(AT, late.update(AT, &[Version(6); Feed::COUNT]));
+    assert_eq!(names(&changed), [""; 0]);
+}
--- a/burdocklever/tests/steer.rs
+++ b/burdocklever/tests/steer.rs
@@ -12,6 +12,8 @@
     steering: Steering,
     now: Time,
     version: u64,
+    /// A target that answers whenever time passes.
+    prompt: Option<u64>,
 }
 
 impl World {
@@ -25,6 +27,7 @@
             steering: Steering::new("accra".parse().unwrap(), bounds),
             now: Time(0),
             version: 0,
+            prompt: None,
         };
         world.pool("ledger");
         world.route("main", &["ledger"]);
@@ -95,8 +98,18 @@
         self.apply("domain", name, Body::Domain { state });
     }
 
+    /// Lets time pass in which this VM reads all packets as they come.
     fn pass(&mut self, ms: u64) {
         self.now = self.now + Ms(ms);
+        self.steering.drained(self.now);
+        if let Some(host) = self.prompt {
+            self.answer_elsewhere(host);
+        }
+    }
+
+    /// Lets time pass in which packets wait to be read.
+    fn lag(&mut self, ms: u64) {
+        self.now = self.now + Ms(ms);
     }
 
     fn packet(&mut self, caller: u16, change: impl FnOnce(&mut Segment)) -> Verdict {
@@ -130,6 +143,18 @@
         })
     }
 
+    /// Another target answers a request at once.
+    fn answer_elsewhere(&mut self, host: u64) {
+        let n = self.now.0 as u32;
+        self.packet(99, |s| {
+            s.mark = Stage::Within;
+            s.token = Token::of(HostId(host), Incarnation(1));
+            s.seq = 10_000 + n;
+            s.len = 1;
+        });
+        self.later(99, HostId(host), 10_000 + n, 0);
+    }
+
     /// Sends a request in bytes 1000 to 1100 of its flow.
     fn ask(&mut self, caller: u16, host: HostId) -> Verdict {
         self.later(caller, host, 1, 100)
@@ -325,6 +350,7 @@
         assert_eq!(world.open(caller), Some(HostId(1)));
     }
     world.host(2, "ledger", "accra", |_| {});
+    world.prompt = Some(2);
     world.pass(1000);
     world.ask(1, HostId(1));
     world
@@ -397,13 +423,47 @@
 fn a_vm_that_was_frozen_blames_no_target() {
     let mut world = a_silent_target();
     // The queue holds the repeats of the whole time.
-    world.pass(3000);
+    world.lag(3000);
     for _ in 0..4 {
         assert_eq!(target(world.ask(1, HostId(1))), Some(HostId(1)));
     }
     assert!(world.resets().is_empty());
 }
 
+/// A VM with a small share of a core that reads a configuration of a thousand
+/// routes while packets come in.
+#[test]
+fn a_vm_that_is_late_blames_no_target() {
+    let mut world = a_silent_target();
+    for _ in 0..6 {
+        world.lag(250);
+        for caller in 1..=4 {
+            let verdict = world.ask(caller, HostId(1));
+            assert_eq!(target(verdict), Some(HostId(1)));
+        }
+    }
+    // The acknowledgements were behind the repeats.
+    world.later(1, HostId(1), 5, 0);
+    assert!(world.resets().is_empty());
+}
+
+/// A VM whose link is full of other traffic: every packet takes long, and no
+/// target answers promptly.
+#[test]
+fn a_vm_with_a_full_link_blames_no_target() {
+    let mut world = a_silent_target();
+    world.prompt = None;
+    world.pass(400);
+    for pause in [200, 400, 800] {
+        world.pass(pause);
+        for caller in 1..=4 {
+            let verdict = world.ask(caller, HostId(1));
+            assert_eq!(target(verdict), Some(HostId(1)));
+        }
+    }
+    assert!(world.resets().is_empty());
+}
+
 #[test]
 fn a_request_that_may_not_be_repeated_waits_for_its_target() {
     let mut world = World::new();
@@ -411,6 +471,8 @@
     world.host(1, "ledger", "accra", |_| {});
     world.open(1);
     world.open(2);
+    world.host(2, "ledger", "accra", |_| {});
+    world.prompt = Some(2);
     world.ask(1, HostId(1));
     for pause in [200, 400, 800] {
         world.pass(pause);
