Explain a failed flow from the logs, and keep the last lines

Change: burdocklever explain FLOW LOG... puts the lines of a flow, its targets and its VMs in order of time and ends with the cause; unreadable lines are counted.

--- a/burdocklever/src/journal.rs
+++ b/burdocklever/src/journal.rs
@@ -25,6 +25,8 @@
 /// Time for which lines are gathered before they are written together. A
 /// process that is killed loses this much of its log.
 const GATHER: Duration = Duration::from_millis(25);
+/// Time that a stopping process waits for its last lines to be written.
+const FLUSH: Duration = Duration::from_millis(200);
 /// Time between notes of what was left out.
 const NOTE_EVERY: Duration = Duration::from_secs(1);
 
@@ -35,6 +37,15 @@
     pub(crate) omitted: AtomicU64,
 }
 
+/// What the writing thread is told.
+#[derive(Debug)]
+enum Order {
+    /// Write a line.
+    Line(Vec<u8>),
+    /// Write all lines so far, then say so.
+    Flush(SyncSender<()>),
+}
+
 /// Lines of one part in the current second.
 #[derive(Debug, Clone, Copy)]
 struct Window {
@@ -45,7 +56,7 @@
 /// The appender behind the `log` macros.
 #[derive(Debug)]
 pub struct Journal {
-    lines: SyncSender<Vec<u8>>,
+    orders: SyncSender<Order>,
     windows: Mutex<HashMap<Box<str>, Window>>,
     tally: Arc<Tally>,
 }
@@ -57,14 +68,14 @@
     ///
     /// The system's error if no thread can be started.
     pub fn spawn(out: impl Write + Send + 'static) -> std::io::Result<Journal> {
-        let (lines, waiting) = sync_channel(WAITING_MAX);
+        let (orders, waiting) = sync_channel(WAITING_MAX);
         let tally = Arc::new(Tally::default());
         let seen = tally.clone();
         std::thread::Builder::new()
             .name("journal".into())
             .spawn(move || write_out(&waiting, out, &seen))?;
         Ok(Journal {
-            lines,
+            orders,
             windows: Mutex::default(),
             tally,
         })
@@ -99,7 +110,7 @@
 impl Append for Journal {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let fits = self.admits(record.target());
-        let sent = fits && self.lines.try_send(encode(record)?).is_ok();
+        let sent = fits && self.orders.try_send(Order::Line(encode(record)?)).is_ok();
         let count = if sent {
             &self.tally.written
         } else {
@@ -109,7 +120,13 @@
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        // A queue that is full, or a reader that does not read, loses the rest.
+        if self.orders.try_send(Order::Flush(done)).is_ok() {
+            let _ = written.recv_timeout(FLUSH);
+        }
+    }
 }
 
 /// Adds a record's fields to a JSON object.
@@ -144,20 +161,25 @@
     Ok(line)
 }
 
-fn write_out(waiting: &Receiver<Vec<u8>>, mut out: impl Write, tally: &Tally) {
+fn write_out(orders: &Receiver<Order>, mut out: impl Write, tally: &Tally) {
     let mut noted = Instant::now();
     let mut told = 0;
     loop {
-        let mut batch = match waiting.recv_timeout(NOTE_EVERY) {
-            Ok(line) => line,
-            Err(RecvTimeoutError::Timeout) => Vec::new(),
+        let first = match orders.recv_timeout(NOTE_EVERY) {
+            Ok(order) => Some(order),
+            Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        if !batch.is_empty() {
+        if matches!(first, Some(Order::Line(_))) {
             std::thread::sleep(GATHER);
-            waiting
-                .try_iter()
-                .for_each(|line| batch.extend_from_slice(&line));
+        }
+        let mut batch = Vec::new();
+        let mut waiters = Vec::new();
+        for order in first.into_iter().chain(orders.try_iter()) {
+            match order {
+                Order::Line(line) => batch.extend_from_slice(&line),
+                Order::Flush(done) => waiters.push(done),
+            }
         }
         let omitted = tally.omitted.load(Ordering::Relaxed);
         if omitted > told && noted.elapsed() >= NOTE_EVERY {
@@ -173,6 +195,10 @@
         if !batch.is_empty() && out.write_all(&batch).and_then(|()| out.flush()).is_err() {
             return;
         }
+        for done in waiters {
+            // Whoever waited may have given up.
+            let _ = done.try_send(());
+        }
     }
 }
 
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -34,6 +34,7 @@
 mod entry;
 mod event;
 mod exchange;
+mod explain;
 mod flow;
 mod follow;
 mod gateway;
@@ -81,6 +82,7 @@
 }
 
 pub use event::{Action, Counts, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
+pub use explain::{explain, Explanation};
 pub use gateway::{Codec, Gateway, OpenStore};
 pub use gateway_settings::GatewaySettings;
 pub use key::{Issued, Key};
--- a/burdocklever/src/main.rs
+++ b/burdocklever/src/main.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use burdocklever::{entries, logs, trace_to, Change, Code, Daemon, Operator, Settings, Status};
+use burdocklever::{
+    entries, explain, logs, trace_to, Change, Code, Daemon, Operator, Settings, Status,
+};
 use wire::{Address, Body, DomainId, DomainState, ServiceId, Version, Vm};
 
 /// Layer-4 load balancer. Exit status: 0 done, 1 failed (see docs/RESULTS.md),
@@ -82,6 +84,16 @@
     /// Bring a failure domain back into service
     #[bpaf(command)]
     Back(#[bpaf(external(domain_change))] DomainChange),
+    /// Explain what became of a flow, from the logs of VMs
+    #[bpaf(command)]
+    Explain {
+        /// Caller and service, as IP:PORT-IP:PORT
+        #[bpaf(positional("FLOW"))]
+        flow: String,
+        /// Log files
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
     /// Status of VMs, targets and versions in force
     #[bpaf(command)]
     Status {
@@ -179,11 +191,33 @@
         }
         Command::Out(change) => set_domain(change, DomainState::Out).await?,
         Command::Back(change) => set_domain(change, DomainState::In).await?,
+        Command::Explain { flow, logs } => print_explanation(&flow, &logs)?,
         Command::Status { common } => status(&open(&common).await?, common.json).await?,
     }
     Ok(ExitCode::SUCCESS)
 }
 
+fn print_explanation(flow: &str, files: &[PathBuf]) -> miette::Result<()> {
+    let mut logs = Vec::new();
+    for file in files {
+        let bytes = std::fs::read(file).map_err(|e| {
+            let code = Code::Unreadable;
+            miette::miette!("{code} {}: {}: {e}", code.text(), file.display())
+        })?;
+        let name = file.display().to_string();
+        logs.push((name.into(), String::from_utf8_lossy(&bytes).into()));
+    }
+    let explanation = explain(flow, &logs);
+    for line in &explanation.lines {
+        println!("{line}");
+    }
+    if explanation.unreadable > 0 {
+        println!("{} lines could not be read", explanation.unreadable);
+    }
+    println!("cause: {}", explanation.cause);
+    Ok(())
+}
+
 fn report(error: impl std::error::Error) -> miette::Report {
     miette::miette!("{error}")
 }
