Measure the decisions on packets with tokens, and hash them faster

Change: three slopes (token-packet-time, token-open-time, token-flow-memory); the tables use rustc-hash, and whether a target is near is worked out once.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -114,7 +114,7 @@
         .unwrap_or_else(|_| unreachable!("the name is valid"))
 }
 
-fn service_id() -> ServiceId {
+pub(crate) fn service_id() -> ServiceId {
     let name = "kiosk-ledger";
     name.parse()
         .unwrap_or_else(|_| unreachable!("the name is valid"))
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod output;
 mod slopes;
+mod token;
 
 use std::process::ExitCode;
 
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -11,17 +11,18 @@
 use crate::fit::{line, median};
 use crate::fleet::{domain_id, encoded, flow_key, Fleet, Plan, LIMITS};
 use crate::output::{csv, plot, Result};
+use crate::token;
 
 /// Runs of each timed measurement; the median counts.
 const RUNS: usize = 5;
 
 /// One slope: points, their line, and whether they must be the same in every run.
-struct Slope {
-    name: &'static str,
-    x: &'static str,
-    y: &'static str,
-    exact: bool,
-    points: Vec<(f64, f64)>,
+pub(crate) struct Slope {
+    pub(crate) name: &'static str,
+    pub(crate) x: &'static str,
+    pub(crate) y: &'static str,
+    pub(crate) exact: bool,
+    pub(crate) points: Vec<(f64, f64)>,
 }
 
 /// Measures all slopes.
@@ -41,6 +42,9 @@
         tick_time("tick-time", |_| FAILURE_DOMAINS),
         tick_time("tick-time-small-cells", |vms| vms / SMALL_CELL),
         claim_bytes(),
+        token::packet_time(),
+        token::open_time(),
+        token::flow_memory(),
     ];
     let header = "slope,x,y,base,per unit,largest residual,same in every run,points";
     let mut rows = Vec::new();
@@ -69,7 +73,7 @@
 }
 
 /// Median time of some runs in nanoseconds.
-fn timed(mut run: impl FnMut()) -> f64 {
+pub(crate) fn timed(mut run: impl FnMut()) -> f64 {
     let mut times: Vec<f64> = (0..RUNS)
         .map(|_| {
             let start = Instant::now();
@@ -432,7 +436,7 @@
 }
 
 /// Resident memory of this process in bytes.
-fn resident() -> f64 {
+pub(crate) fn resident() -> f64 {
     const PAGE_BYTES: f64 = 4096.0;
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split(' ').nth(1).and_then(|p| p.parse().ok());
--- /dev/null
+++ b/bench/src/token.rs
@@ -0,0 +1,165 @@
+//! Slopes of packets that carry tokens: decisions and what is remembered.
+
+use burdocklever::{Bounds, Ms, Segment, Stage, Steering, Time, Token, Verdict};
+use wire::{
+    Address, Body, DomainId, Host, HostId, Incarnation, Object, ObjectKey, Pool, Route, Share,
+    State, Version,
+};
+
+use crate::slopes::{resident, timed, Slope};
+
+/// Sizes of the timed runs, in packets.
+const PACKETS: [u64; 4] = [100_000, 200_000, 400_000, 800_000];
+/// Sizes of the run that measures memory, in flows.
+const FLOWS: [u64; 4] = [20_000, 40_000, 80_000, 140_000];
+/// Targets of the service: those of the largest deployment there is today.
+const TARGETS: u64 = 120;
+
+fn service_address() -> Address {
+    Address::from(([198, 18, 0, 1], 443))
+}
+
+fn domain(n: u64) -> DomainId {
+    crate::fleet::domain_id((n % 4) as usize)
+}
+
+/// A VM that knows one route to [`TARGETS`] targets in four failure domains.
+fn steering() -> Steering {
+    let bounds = Bounds {
+        leave: Ms(4000),
+        lag: Ms(1000),
+    };
+    let mut steering = Steering::new(domain(0), bounds);
+    let service: wire::ServiceId = crate::fleet::service_id();
+    let pool = Pool {
+        conns: u32::MAX,
+        cold_ms: 0,
+        cold_rate: 0,
+    };
+    let route = Route {
+        address: service_address(),
+        shares: vec![Share {
+            service: service.clone(),
+            weight: 1,
+        }],
+        once: false,
+        rank: 0,
+        deadline_ms: 2000,
+        goal_ms: 150,
+    };
+    let mut objects = vec![
+        (ObjectKey::new("pool", &service), Body::Pool(pool)),
+        (ObjectKey::new("route", "main"), Body::Route(route)),
+    ];
+    for id in 1..=TARGETS {
+        let host = Host {
+            id: HostId(id),
+            service: service.clone(),
+            domain: domain(id),
+            address: Address::from(([10, 0, 0, id as u8], 80)),
+            state: State::Live,
+            life: Incarnation(1),
+            cold_ms: 0,
+            slots: 2,
+        };
+        objects.push((ObjectKey::new("host", id), Body::Host(host)));
+    }
+    for (key, body) in objects {
+        let object = Object {
+            key,
+            version: Version(1),
+            change: 0,
+            body,
+        };
+        steering.apply(Time(0), &object);
+    }
+    steering
+}
+
+fn segment(caller: u64, mark: Stage, token: Token) -> Segment {
+    let ip = [100, 64, (caller >> 16) as u8, (caller >> 8) as u8];
+    Segment {
+        caller: Address::from((ip, 1024 + (caller % 256) as u16)),
+        service: service_address(),
+        mark,
+        token,
+        seq: 1,
+        ack: 1,
+        len: 0,
+    }
+}
+
+fn open(steering: &mut Steering, caller: u64) -> Option<Token> {
+    match steering.packet(Time(1), &segment(caller, Stage::Open, Token::NONE)) {
+        Verdict::Forward { token, .. } => Some(token),
+        _ => None,
+    }
+}
+
+/// Time to decide on packets of a thousand open flows.
+pub(crate) fn packet_time() -> Slope {
+    let mut steering = steering();
+    let tokens: Vec<Token> = (0..1000)
+        .filter_map(|caller| open(&mut steering, caller))
+        .collect();
+    let points = PACKETS.map(|n| {
+        let time = timed(|| {
+            for i in 0..n {
+                let caller = i % tokens.len() as u64;
+                let token = tokens[caller as usize];
+                let packet = segment(caller, Stage::Within, token);
+                std::hint::black_box(steering.packet(Time(2), &packet));
+            }
+        });
+        (n as f64, time)
+    });
+    Slope {
+        name: "token-packet-time",
+        x: "packets",
+        y: "ns",
+        exact: false,
+        points: points.to_vec(),
+    }
+}
+
+/// Time to decide on opening packets.
+pub(crate) fn open_time() -> Slope {
+    let points = PACKETS.map(|n| {
+        let n = n / 10;
+        let mut steering = steering();
+        let time = timed(|| {
+            for caller in 0..n {
+                std::hint::black_box(open(&mut steering, caller));
+            }
+        });
+        (n as f64, time)
+    });
+    Slope {
+        name: "token-open-time",
+        x: "new flows",
+        y: "ns",
+        exact: false,
+        points: points.to_vec(),
+    }
+}
+
+/// Memory of remembered flows.
+pub(crate) fn flow_memory() -> Slope {
+    let points = FLOWS.map(|n| {
+        let before = resident();
+        let mut steering = steering();
+        for caller in 0..n {
+            open(&mut steering, caller);
+        }
+        let after = resident();
+        std::hint::black_box(&steering);
+        (n as f64, after - before)
+    });
+    Slope {
+        name: "token-flow-memory",
+        x: "flows",
+        y: "bytes resident",
+        exact: false,
+        points: points.to_vec(),
+    }
+}
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -5,8 +5,8 @@
 //! is soft: it serves to judge the targets and may be lost at any time.
 
 use std::collections::hash_map::Entry;
-use std::collections::HashMap;
 
+use rustc_hash::FxHashMap;
 use wire::{
     Address, Body, DomainId, DomainState, HostId, Incarnation, Object, Pool, ServiceId, State,
 };
@@ -116,12 +116,14 @@
     id: ServiceId,
     pool: Option<Pool>,
     targets: Vec<usize>,
-    tokens: HashMap<Token, usize>,
+    tokens: FxHashMap<Token, usize>,
 }
 
 #[derive(Debug)]
 struct Domain {
     id: DomainId,
+    /// Whether this VM runs there.
+    near: bool,
     /// Since when it is out of service.
     out: Option<Time>,
 }
@@ -175,13 +177,13 @@
     drained: Time,
     /// Last prompt answer of any target.
     prompt: Option<Time>,
-    routes: HashMap<Address, Route>,
-    names: HashMap<Box<str>, Address>,
+    routes: FxHashMap<Address, Route>,
+    names: FxHashMap<Box<str>, Address>,
     services: Vec<Service>,
     domains: Vec<Domain>,
     targets: Vec<Target>,
-    hosts: HashMap<HostId, usize>,
-    flows: HashMap<FlowKey, Flow>,
+    hosts: FxHashMap<HostId, usize>,
+    flows: FxHashMap<FlowKey, Flow>,
     opening: Option<Opening>,
     resets: Vec<Segment>,
     given_up: Option<GivenUp>,
@@ -198,13 +200,13 @@
             confirmed: None,
             drained: Time(0),
             prompt: None,
-            routes: HashMap::new(),
-            names: HashMap::new(),
+            routes: FxHashMap::default(),
+            names: FxHashMap::default(),
             services: Vec::new(),
             domains: Vec::new(),
             targets: Vec::new(),
-            hosts: HashMap::new(),
-            flows: HashMap::new(),
+            hosts: FxHashMap::default(),
+            flows: FxHashMap::default(),
             opening: None,
             resets: Vec::new(),
             given_up: None,
@@ -429,7 +431,7 @@
             id: id.clone(),
             pool: None,
             targets: Vec::new(),
-            tokens: HashMap::new(),
+            tokens: FxHashMap::default(),
         });
         self.services.len() - 1
     }
@@ -440,6 +442,7 @@
         }
         self.domains.push(Domain {
             id: id.clone(),
+            near: *id == self.home,
             out: None,
         });
         self.domains.len() - 1
@@ -550,7 +553,7 @@
                 && signals.flows < conns;
             open.then(|| Candidate {
                 target: *i,
-                near: self.domains[target.domain].id == self.home,
+                near: self.domains[target.domain].near,
                 suspect: suspect || tried.contains(i),
                 load: place::load(signals.flows, signals.waiting, target.slots),
                 answer: signals.answer_time(),
