--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -51,7 +51,7 @@
 const STOP_PERCENT: u64 = 80;
 /// Time that seeds have to answer a VM that starts before it reads the store.
 /// They answer in about 5 ms.
-const SEED_WAIT: Duration = Duration::from_millis(30);
+const SEED_WAIT: Duration = Duration::from_millis(15);
 /// Time between looks at the VM that this one looks after, and looks without
 /// an answer after which its entry is removed: more than a failure domain is
 /// cut off for, usually.
