Serve answer times as a histogram

Cause: the metrics address gave counters only. Change: burdocklever_answer_seconds, from what a VM sees pass.

--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -711,8 +711,12 @@
     let verdict = steering.packet(now, segment);
     let opening = steering.take_opening();
     let given_up = steering.take_given_up();
+    let answer = steering.take_answer();
     let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
     drop(steering);
+    if let Some(took) = answer {
+        shared.metrics.answered(took);
+    }
     if let Some(g) = given_up {
         log::warn!(target: "target", host = g.host.0, flow = flow_id(segment).as_str(),
             silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
--- a/burdocklever/src/metrics.rs
+++ b/burdocklever/src/metrics.rs
@@ -2,13 +2,18 @@
 
 use std::sync::{Arc, Mutex};
 
-use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::{Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::driver::Driver;
 use crate::node::Node;
+use crate::time::Ms;
+
+/// Bounds of the answer times' buckets in seconds: around the goals of 120 to
+/// 500 ms and the deadlines of 1.5 to 10 s.
+const ANSWER_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.5, 10.0];
 
 /// Values that the instruments report.
 #[derive(Debug, Clone, Default)]
@@ -21,6 +26,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     sample: Arc<Mutex<Sample>>,
+    answers: Histogram<f64>,
     _provider: SdkMeterProvider,
 }
 
@@ -62,13 +68,25 @@
                 }
             })
             .build();
+        let answers = meter
+            .f64_histogram("burdocklever_answer")
+            .with_unit("s")
+            .with_description("Time from a request to the first byte of its answer")
+            .with_boundaries(ANSWER_BOUNDS.to_vec())
+            .build();
         Ok(Metrics {
             registry,
             sample,
+            answers,
             _provider: provider,
         })
     }
 
+    /// Takes in how long an answer took.
+    pub(crate) fn answered(&self, took: Ms) {
+        self.answers.record(took.0 as f64 / 1000.0, &[]);
+    }
+
     /// The current values as text.
     pub(crate) fn text(&self, sample: Sample) -> String {
         *self.sample.lock().unwrap_or_else(|e| e.into_inner()) = sample;
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -187,6 +187,7 @@
     opening: Option<Opening>,
     resets: Vec<Segment>,
     given_up: Option<GivenUp>,
+    answer: Option<Ms>,
 }
 
 impl Steering {
@@ -210,6 +211,7 @@
             opening: None,
             resets: Vec::new(),
             given_up: None,
+            answer: None,
         }
     }
 
@@ -256,6 +258,11 @@
         self.opening.take()
     }
 
+    /// How long the answer took whose first byte the last packet acknowledged.
+    pub fn take_answer(&mut self) -> Option<Ms> {
+        self.answer.take()
+    }
+
     /// The target that the last packet showed to be dead.
     pub fn take_given_up(&mut self) -> Option<GivenUp> {
         self.given_up.take()
@@ -635,6 +642,7 @@
         let target = &mut self.targets[index];
         flow.seen = now;
         let took = hear(now, segment, flow, &mut target.signals);
+        self.answer = took;
         if took.is_some_and(|took| took <= PROMPT) {
             self.prompt = Some(now);
         }
