--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -16,7 +16,7 @@
 use axum::routing::get;
 use axum::Router;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::JoinSet;
 use wire::{Address, Body, DomainId, HostId, Member, Object, ObjectKey, State, Vm, VmId};
 
@@ -134,6 +134,30 @@
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
+/// Signals that a gateway takes.
+#[derive(Debug)]
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Starts to take signals. To be called before anything else: until then
+    /// each of them ends the process.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoBind`] if signals cannot be received.
+    pub fn open() -> Result<Signals> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate()).map_err(no_bind)?,
+            int: signal(SignalKind::interrupt()).map_err(no_bind)?,
+            hup: signal(SignalKind::hangup()).map_err(no_bind)?,
+        })
+    }
+}
+
 /// A running gateway.
 pub struct Gateway {
     shared: Arc<Shared>,
@@ -240,21 +264,14 @@
 
     /// Serves until SIGTERM or SIGINT, then stops: tells the fabric, forwards
     /// what still arrives and returns once nothing does.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::NoBind`] if signals cannot be received.
-    pub async fn run(mut self) -> Result<()> {
-        let mut term = signal(SignalKind::terminate()).map_err(no_bind)?;
-        let mut int = signal(SignalKind::interrupt()).map_err(no_bind)?;
-        let mut hup = signal(SignalKind::hangup()).map_err(no_bind)?;
+    pub async fn run(mut self, mut signals: Signals) {
         let mut house = tokio::time::interval(HOUSEKEEPING);
         let mut suspects = 0;
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                _ = int.recv() => break,
-                _ = hup.recv() => self.reload("signal"),
+                _ = signals.term.recv() => break,
+                _ = signals.int.recv() => break,
+                _ = signals.hup.recv() => self.reload("signal"),
                 _ = house.tick() => {
                     if modified(&self.path) != self.changed {
                         self.reload("file changed");
@@ -264,7 +281,6 @@
             }
         }
         self.stop().await;
-        Ok(())
     }
 
     async fn stop(&self) {
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -83,7 +83,7 @@
 
 pub use event::{Action, Counts, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
 pub use explain::{explain, Explanation};
-pub use gateway::{Codec, Gateway, OpenStore};
+pub use gateway::{Codec, Gateway, OpenStore, Signals};
 pub use gateway_settings::GatewaySettings;
 pub use key::{Issued, Key};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
