Split the gateway and the steering by job; forget old removals

Change: gateway_packets, gateway_peers and trail are modules of their own; prune runs each second. No decision changed; all tests of the library pass as before.

--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -4,9 +4,6 @@
 //! for the reading of a large catalogue. All else runs on the caller's runtime.
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
-use std::net::IpAddr;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -18,26 +15,25 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::JoinSet;
-use wire::{Address, Body, DomainId, HostId, Member, Object, ObjectKey, State, Vm, VmId};
-
-use crate::book::{Book, Update};
-use crate::code::Code;
-use crate::daemon::{no_bind, start_life, Error, Result};
-use crate::exchange::{self, Question};
-use crate::follow::{follow, register, register_pause, News, Reader};
+use wire::{Address, DomainId, HostId, Vm};
+
+use crate::book::Book;
+use crate::daemon::{no_bind, Error, Result};
+use crate::follow::follow;
+use crate::gateway_packets::receive;
+use crate::gateway_peers::{
+    ask_peers, keep_entry, look_after_next, own_entry, peer_app, peer_client, reader,
+};
 use crate::gateway_settings::GatewaySettings;
 use crate::metrics::{Metrics, Sample};
 use crate::platform;
-use crate::relay::{self, age_max, Relay};
-use crate::segment::{Segment, Verdict};
+use crate::relay::Relay;
+use crate::segment::Segment;
 use crate::steer::{Bounds, Steering};
-use crate::store::{Entry, Feed, Store};
+use crate::store::{Feed, Store};
 use crate::time::{Ms, Time};
 use crate::token::Token;
 
-/// Largest packet in bytes: 32 of header and 1200 of data, with room to see
-/// that one is too long.
-const PACKET_MAX: usize = 2048;
 /// Time between looks at the settings file and sweeps of the flows.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 /// Part of a failure domain's time to leave, in percent, for which its flows go
@@ -49,18 +45,6 @@
 const STOP_MIN: Ms = Ms(1500);
 /// Part of the time before a stopping VM is killed, in percent, that it uses.
 const STOP_PERCENT: u64 = 80;
-/// Time that seeds have to answer a VM that starts before it reads the store.
-/// They answer in about 5 ms.
-const SEED_WAIT: Duration = Duration::from_millis(15);
-/// Time between looks at the VM that this one looks after, and looks without
-/// an answer after which its entry is removed: more than a failure domain is
-/// cut off for, usually.
-const LOOK: Duration = Duration::from_secs(30);
-const LOOKS: u32 = 6;
-/// Time that a VM takes to read from the store what a peer would not tell.
-const CATCH_UP: Duration = Duration::from_millis(500);
-/// Pause before a peer is asked again after one failed.
-const PEER_RETRY: Duration = Duration::from_millis(100);
 
 /// Translation between packets as they travel and as decisions see them.
 #[derive(Debug, Clone, Copy)]
@@ -79,48 +63,48 @@
 
 /// Counters since the start.
 #[derive(Debug, Default)]
-struct Counters {
-    forwarded: AtomicU64,
-    opened: AtomicU64,
-    refused: AtomicU64,
-    dropped: AtomicU64,
-    malformed: AtomicU64,
-    unsent: AtomicU64,
-    calls_failed: AtomicU64,
+pub(crate) struct Counters {
+    pub(crate) forwarded: AtomicU64,
+    pub(crate) opened: AtomicU64,
+    pub(crate) refused: AtomicU64,
+    pub(crate) dropped: AtomicU64,
+    pub(crate) malformed: AtomicU64,
+    pub(crate) unsent: AtomicU64,
+    pub(crate) calls_failed: AtomicU64,
 }
 
-fn count(counter: &AtomicU64) {
+pub(crate) fn count(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
-struct Shared {
-    steering: Mutex<Steering>,
-    book: Arc<Mutex<Book>>,
+pub(crate) struct Shared {
+    pub(crate) steering: Mutex<Steering>,
+    pub(crate) book: Arc<Mutex<Book>>,
     /// Counts changes of the book, for peers that wait for one.
-    changes: tokio::sync::watch::Sender<u64>,
+    pub(crate) changes: tokio::sync::watch::Sender<u64>,
     /// Whether this VM reads the store itself.
-    direct: tokio::sync::watch::Sender<bool>,
-    http: reqwest::Client,
-    socket: UdpSocket,
-    own: Address,
-    domain: DomainId,
-    codec: Codec,
-    started: Instant,
-    stopping: AtomicBool,
+    pub(crate) direct: tokio::sync::watch::Sender<bool>,
+    pub(crate) http: reqwest::Client,
+    pub(crate) socket: UdpSocket,
+    pub(crate) own: Address,
+    pub(crate) domain: DomainId,
+    pub(crate) codec: Codec,
+    pub(crate) started: Instant,
+    pub(crate) stopping: AtomicBool,
     /// Feeds whose store does not answer.
-    lost: Mutex<BTreeSet<Feed>>,
+    pub(crate) lost: Mutex<BTreeSet<Feed>>,
     /// Milliseconds since the start of the last packet.
-    last_packet: AtomicU64,
-    counters: Counters,
-    metrics: Metrics,
+    pub(crate) last_packet: AtomicU64,
+    pub(crate) counters: Counters,
+    pub(crate) metrics: Metrics,
 }
 
 impl Shared {
-    fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         Time(self.started.elapsed().as_millis() as u64)
     }
 
-    fn steering(&self) -> MutexGuard<'_, Steering> {
+    pub(crate) fn steering(&self) -> MutexGuard<'_, Steering> {
         lock(&self.steering)
     }
 
@@ -130,7 +114,7 @@
 }
 
 /// A panic in one place must not stop packets everywhere.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -148,7 +132,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::NoBind`] if signals cannot be received.
+    /// [`crate::Code::NoBind`] if signals cannot be received.
     pub fn open() -> Result<Signals> {
         Ok(Signals {
             term: signal(SignalKind::terminate()).map_err(no_bind)?,
@@ -174,7 +158,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::NoBind`] if an address cannot be bound, [`Code::NoPlatform`] if
+    /// [`crate::Code::NoBind`] if an address cannot be bound, [`crate::Code::NoPlatform`] if
     /// the store's client cannot be set up.
     pub async fn spawn(
         path: &Path,
@@ -352,6 +336,7 @@
     let found = steering.suspects();
     let open = steering.open_targets();
     drop(steering);
+    lock(&shared.book).prune();
     if found != suspects {
         log::info!(target: "target", suspects = found, before = suspects, open = open;
             "targets that do not answer");
@@ -416,381 +401,3 @@
         ],
     }
 }
-
-fn peer_client() -> Result<reqwest::Client> {
-    let client = reqwest::Client::builder().no_proxy();
-    client.build().map_err(no_bind)
-}
-
-/// This VM's entry: its address is its identity.
-fn own_entry(settings: &GatewaySettings) -> Vm {
-    let id = match settings.datagram.ip() {
-        IpAddr::V4(ip) => VmId(ip.into()),
-        IpAddr::V6(ip) => VmId(crate::rank::hash(&ip.octets()) as u32),
-    };
-    let peer = settings.peer.unwrap_or(settings.datagram);
-    Vm {
-        member: Member {
-            vm: id,
-            life: start_life(),
-        },
-        domain: settings.domain.clone(),
-        datagram: settings.datagram,
-        peer,
-        http: settings.ready,
-        state: State::Live,
-    }
-}
-
-/// Writes this VM's entry until the store has taken it.
-async fn keep_entry(store: Arc<Store>, vm: Vm) {
-    let mut failed = 0;
-    while let Err(error) = register(&store, Entry::Write(vm.clone())).await {
-        if failed == 0 {
-            log::warn!(target: "store", error = error.to_string().as_str();
-                "own entry not written yet");
-        }
-        failed += 1;
-        tokio::time::sleep(register_pause(failed)).await;
-    }
-}
-
-/// Removes the entry of the next VM in the ring if it is gone for good: nobody
-/// else would, since entries do not lapse.
-async fn look_after_next(shared: Arc<Shared>, store: Arc<Store>, own: VmId) {
-    let mut missed = (VmId(0), 0);
-    loop {
-        tokio::time::sleep(LOOK).await;
-        let next = relay::successor(own, lock(&shared.book).catalogue());
-        let Some(next) = next else {
-            continue;
-        };
-        let id = next.member.vm;
-        let question = Question {
-            from: lock(&shared.book).all_through(),
-            wait: Ms(0),
-        };
-        if exchange::ask(&shared.http, next.peer, &question)
-            .await
-            .is_ok()
-        {
-            missed = (id, 0);
-            continue;
-        }
-        missed = if missed.0 == id {
-            (id, missed.1 + 1)
-        } else {
-            (id, 1)
-        };
-        if missed.1 < LOOKS {
-            continue;
-        }
-        let version = lock(&shared.book)
-            .catalogue()
-            .version(&ObjectKey::new("vm", id));
-        match register(&store, Entry::Remove(id, version)).await {
-            Ok(()) => log::info!(target: "peer", vm = id.0; "entry of a VM that is gone removed"),
-            Err(error) => log::warn!(target: "peer", vm = id.0, error = error.to_string().as_str();
-                "entry of a VM that is gone not removed"),
-        }
-    }
-}
-
-fn peer_app(shared: Arc<Shared>) -> Router {
-    let changed = shared.changes.subscribe();
-    let update = move |question: &Question| {
-        let now = shared.now();
-        let book = lock(&shared.book);
-        let fresh = book.fresh_for(now, age_max) > Ms(0);
-        fresh.then(|| book.update(now, &question.from))
-    };
-    exchange::app(exchange::Source {
-        update: Box::new(update),
-        changed,
-    })
-}
-
-/// Asks peers for the catalogue, and has the store read while none knows it
-/// well enough.
-async fn ask_peers(shared: Arc<Shared>, mut relay: Relay, seeds: Vec<Address>) {
-    ask_seeds(&shared, &seeds).await;
-    let mut asked: Option<VmId> = None;
-    loop {
-        let now = shared.now();
-        let source = relay.source(now, lock(&shared.book).catalogue());
-        let next = source.as_ref().map(|vm| vm.member.vm);
-        if next != asked {
-            log::info!(target: "peer", from = asked.map_or(0, |v| v.0), to = next.map_or(0, |v| v.0);
-                "source of the catalogue changes; 0 is the store");
-            asked = next;
-        }
-        let Some(vm) = source else {
-            read_store(&shared, true);
-            tokio::time::sleep(Duration::from_millis(exchange::WAIT.0)).await;
-            continue;
-        };
-        let question = Question {
-            from: lock(&shared.book).all_through(),
-            wait: exchange::WAIT,
-        };
-        let fresh = lock(&shared.book).fresh_for(now, age_max);
-        let asked = exchange::ask(&shared.http, vm.peer, &question);
-        match within(fresh, asked).await {
-            Ok(update) => learn_from_peer(&shared, update),
-            Err(error) if error.code == Code::TooMuch => {
-                read_store(&shared, true);
-                tokio::time::sleep(CATCH_UP).await;
-                continue;
-            }
-            Err(error) => {
-                relay.suspect(shared.now(), vm.member.vm);
-                log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
-                    "peer passed over for a while");
-                tokio::time::sleep(PEER_RETRY.min(Duration::from_millis(fresh.0))).await;
-            }
-        }
-        let fresh = lock(&shared.book).fresh_for(shared.now(), age_max);
-        read_store(&shared, fresh == Ms(0));
-    }
-}
-
-/// Waits for a peer's answer while what is known is fresh, and at least for
-/// [`SEED_WAIT`].
-async fn within(
-    fresh: Ms,
-    asked: impl std::future::Future<Output = platform::Result<Update>>,
-) -> platform::Result<Update> {
-    let limit = Duration::from_millis(fresh.0).max(SEED_WAIT);
-    match tokio::time::timeout(limit, asked).await {
-        Ok(answer) => answer,
-        Err(_) => Err(platform::Error {
-            code: Code::NoPeer,
-            detail: format!("no answer within {limit:?}").into(),
-        }),
-    }
-}
-
-/// Starts or stops to read the store.
-fn read_store(shared: &Shared, on: bool) {
-    let changed = shared
-        .direct
-        .send_if_modified(|direct| std::mem::replace(direct, on) != on);
-    if changed {
-        log::info!(target: "peer", direct = on; "reads the store itself");
-    }
-}
-
-/// Asks all seeds at once, and goes on with the first answer, or without one.
-async fn ask_seeds(shared: &Arc<Shared>, seeds: &[Address]) {
-    let mut asked = JoinSet::new();
-    for seed in seeds.iter().copied() {
-        let http = shared.http.clone();
-        let question = Question {
-            from: Default::default(),
-            wait: Ms(0),
-        };
-        asked.spawn(async move { exchange::ask(&http, seed, &question).await });
-    }
-    let first = async {
-        while let Some(answer) = asked.join_next().await {
-            if let Ok(Ok(update)) = answer {
-                return Some(update);
-            }
-        }
-        None
-    };
-    match tokio::time::timeout(SEED_WAIT, first).await {
-        Ok(Some(update)) => learn_from_peer(shared, update),
-        _ => read_store(shared, true),
-    }
-}
-
-fn learn_from_peer(shared: &Shared, update: Update) {
-    let now = shared.now();
-    let fresh = lock(&shared.book).learn(now, update);
-    adopt(shared, &fresh, 0);
-}
-
-/// Ends of what follows the store: the book, and what becomes of its changes.
-fn reader(shared: &Arc<Shared>, store: Arc<Store>) -> Reader {
-    let clock = shared.clone();
-    let told = shared.clone();
-    Reader {
-        store,
-        book: shared.book.clone(),
-        clock: Box::new(move || clock.now()),
-        tell: Box::new(move |feed, news| hear(&told, feed, news)),
-    }
-}
-
-/// Takes in what following a feed told.
-fn hear(shared: &Shared, feed: Feed, news: News) {
-    match news {
-        News::Changed(objects, skipped) => adopt(shared, &objects, skipped),
-        News::Lost(error) => {
-            count(&shared.counters.calls_failed);
-            if lock(&shared.lost).insert(feed) {
-                log::warn!(target: "store", feed = feed.to_string().as_str(),
-                    error = error.to_string().as_str();
-                    "store lost, going on with what is known");
-            }
-        }
-        News::Regained => {
-            if lock(&shared.lost).remove(&feed) {
-                log::info!(target: "store", feed = feed.to_string().as_str(); "store regained");
-            }
-        }
-    }
-}
-
-/// Steers by changed objects and wakes peers that wait for a change.
-fn adopt(shared: &Shared, objects: &[Object], skipped: usize) {
-    let now = shared.now();
-    let book = lock(&shared.book);
-    let confirmed = book.confirmed(Feed::Routes);
-    let peers = book.catalogue().vms_in(&shared.domain).count();
-    drop(book);
-    let mut steering = shared.steering();
-    steering.set_peers(peers as u32);
-    for object in objects {
-        steering.apply(now, object);
-    }
-    if let Some(at) = confirmed {
-        steering.confirm(at);
-    }
-    drop(steering);
-    if !objects.is_empty() {
-        shared.changes.send_modify(|n| *n += 1);
-    }
-    log_changes(objects, skipped);
-}
-
-/// Changes that are logged one by one; more than these are only counted.
-const CHANGES_LOGGED: usize = 20;
-
-fn log_changes(objects: &[Object], skipped: usize) {
-    if skipped > 0 {
-        log::warn!(target: "catalogue", skipped = skipped; "entries that cannot be used");
-    }
-    if objects.len() > CHANGES_LOGGED {
-        let newest = objects.iter().map(|o| o.version.0).max();
-        log::info!(target: "catalogue", objects = objects.len(), newest = newest.unwrap_or(0);
-            "many changes");
-        return;
-    }
-    for object in objects {
-        let state = match &object.body {
-            Body::Host(host) => format!("{:?}", host.state),
-            Body::Domain { state } => format!("{state:?}"),
-            Body::Removed => "Removed".into(),
-            _ => "Set".into(),
-        };
-        log::info!(target: "catalogue", object = object.key.to_string().as_str(),
-            version = object.version.0, state = state.as_str(); "changed");
-    }
-}
-
-/// Receives packets for ever.
-async fn receive(shared: Arc<Shared>) {
-    let mut buffer = [0; PACKET_MAX];
-    let mut out = Vec::with_capacity(PACKET_MAX);
-    loop {
-        match shared.socket.try_recv_from(&mut buffer) {
-            Ok((length, _)) => handle(&shared, &buffer[..length], &mut out),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                shared.steering().drained(shared.now());
-                if let Err(error) = shared.socket.readable().await {
-                    log::error!(target: "packet", error = error.to_string().as_str();
-                        "socket not readable any more");
-                    return;
-                }
-            }
-            // An ICMP error of an earlier send; nothing was received.
-            Err(error) => {
-                log::debug!(target: "packet", error = error.to_string().as_str(); "not received");
-            }
-        }
-    }
-}
-
-fn handle(shared: &Shared, packet: &[u8], out: &mut Vec<u8>) {
-    match (shared.codec.decode)(packet) {
-        Some(segment) => steer(shared, packet, &segment, out),
-        None => count(&shared.counters.malformed),
-    }
-}
-
-fn steer(shared: &Shared, packet: &[u8], segment: &Segment, out: &mut Vec<u8>) {
-    let now = shared.now();
-    shared.last_packet.store(now.0, Ordering::Relaxed);
-    let mut steering = shared.steering();
-    let verdict = steering.packet(now, segment);
-    let opening = steering.take_opening();
-    let given_up = steering.take_given_up();
-    let answer = steering.take_answer();
-    let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
-    drop(steering);
-    if let Some(took) = answer {
-        shared.metrics.answered(took);
-    }
-    if let Some(g) = given_up {
-        log::warn!(target: "target", host = g.host.0, flow = flow_id(segment).as_str(),
-            silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
-            repeats = g.repeats, asked_ms = g.asked.0, listed = g.listed, flows = g.flows;
-            "target given up, its quiet flows are reset");
-    }
-    for segment in &ended {
-        reset(shared, segment, Code::FlowEnded, out);
-    }
-    out.clear();
-    let to = match verdict {
-        Verdict::Forward {
-            host,
-            address,
-            token,
-        } => {
-            (shared.codec.forward)(packet, host, token, out);
-            count(&shared.counters.forwarded);
-            address
-        }
-        Verdict::Reset(code) => return reset(shared, segment, code, out),
-        Verdict::Drop(code) => {
-            count(&shared.counters.dropped);
-            log_end(segment, code, "packet dropped");
-            return;
-        }
-    };
-    send(shared, out, to);
-    if let Some(o) = opening {
-        count(&shared.counters.opened);
-        log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
-            near = o.near, far = o.far, suspects = o.suspects, copy = o.copy; "flow opened");
-    }
-}
-
-fn reset(shared: &Shared, segment: &Segment, code: Code, out: &mut Vec<u8>) {
-    count(&shared.counters.refused);
-    log_end(segment, code, "flow reset");
-    out.clear();
-    let to = (shared.codec.reset)(segment, shared.own, out);
-    send(shared, out, to);
-}
-
-fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
-    if let Err(error) = shared.socket.try_send_to(packet, to) {
-        count(&shared.counters.unsent);
-        log::warn!(target: "packet", to = to.to_string().as_str(),
-            error = error.to_string().as_str(); "not sent");
-    }
-}
-
-/// Name of a flow in the log: both ends' addresses.
-fn flow_id(segment: &Segment) -> String {
-    format!("{}-{}", segment.caller, segment.service)
-}
-
-fn log_end(segment: &Segment, code: Code, event: &str) {
-    log::info!(target: "flow", flow = flow_id(segment).as_str(),
-        code = code.to_string().as_str(), reason = code.text(), stage = format!("{:?}", segment.mark).as_str(),
-        token = segment.token.to_string().as_str(); "{event}");
-}
--- /dev/null
+++ b/burdocklever/src/gateway_packets.rs
@@ -0,0 +1,119 @@
+//! How a gateway handles packets: receives, decides, sends, logs.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use crate::code::Code;
+use crate::gateway::{count, Shared};
+use crate::segment::{Segment, Verdict};
+
+/// Largest packet in bytes: 32 of header and 1200 of data, with room to see
+/// that one is too long.
+const PACKET_MAX: usize = 2048;
+
+/// Receives packets for ever.
+pub(crate) async fn receive(shared: Arc<Shared>) {
+    let mut buffer = [0; PACKET_MAX];
+    let mut out = Vec::with_capacity(PACKET_MAX);
+    loop {
+        match shared.socket.try_recv_from(&mut buffer) {
+            Ok((length, _)) => handle(&shared, &buffer[..length], &mut out),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                shared.steering().drained(shared.now());
+                if let Err(error) = shared.socket.readable().await {
+                    log::error!(target: "packet", error = error.to_string().as_str();
+                        "socket not readable any more");
+                    return;
+                }
+            }
+            // An ICMP error of an earlier send; nothing was received.
+            Err(error) => {
+                log::debug!(target: "packet", error = error.to_string().as_str(); "not received");
+            }
+        }
+    }
+}
+
+fn handle(shared: &Shared, packet: &[u8], out: &mut Vec<u8>) {
+    match (shared.codec.decode)(packet) {
+        Some(segment) => steer(shared, packet, &segment, out),
+        None => count(&shared.counters.malformed),
+    }
+}
+
+fn steer(shared: &Shared, packet: &[u8], segment: &Segment, out: &mut Vec<u8>) {
+    let now = shared.now();
+    shared.last_packet.store(now.0, Ordering::Relaxed);
+    let mut steering = shared.steering();
+    let verdict = steering.packet(now, segment);
+    let opening = steering.take_opening();
+    let given_up = steering.take_given_up();
+    let answer = steering.take_answer();
+    let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
+    drop(steering);
+    if let Some(took) = answer {
+        shared.metrics.answered(took);
+    }
+    if let Some(g) = given_up {
+        log::warn!(target: "target", host = g.host.0, flow = flow_id(segment).as_str(),
+            silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
+            repeats = g.repeats, asked_ms = g.asked.0, listed = g.listed, flows = g.flows;
+            "target given up, its quiet flows are reset");
+    }
+    for segment in &ended {
+        reset(shared, segment, Code::FlowEnded, out);
+    }
+    out.clear();
+    let to = match verdict {
+        Verdict::Forward {
+            host,
+            address,
+            token,
+        } => {
+            (shared.codec.forward)(packet, host, token, out);
+            count(&shared.counters.forwarded);
+            address
+        }
+        Verdict::Reset(code) => return reset(shared, segment, code, out),
+        Verdict::Drop(code) => {
+            count(&shared.counters.dropped);
+            log_end(segment, code, "packet dropped");
+            return;
+        }
+    };
+    send(shared, out, to);
+    if let Some(o) = opening {
+        count(&shared.counters.opened);
+        log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
+            near = o.near, far = o.far, suspects = o.suspects, copy = o.copy; "flow opened");
+    }
+}
+
+fn reset(shared: &Shared, segment: &Segment, code: Code, out: &mut Vec<u8>) {
+    count(&shared.counters.refused);
+    log_end(segment, code, "flow reset");
+    out.clear();
+    let to = (shared.codec.reset)(segment, shared.own, out);
+    send(shared, out, to);
+}
+
+fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
+    if let Err(error) = shared.socket.try_send_to(packet, to) {
+        count(&shared.counters.unsent);
+        log::warn!(target: "packet", to = to.to_string().as_str(),
+            error = error.to_string().as_str(); "not sent");
+    }
+}
+
+/// Name of a flow in the log: both ends' addresses.
+fn flow_id(segment: &Segment) -> String {
+    format!("{}-{}", segment.caller, segment.service)
+}
+
+fn log_end(segment: &Segment, code: Code, event: &str) {
+    log::info!(target: "flow", flow = flow_id(segment).as_str(),
+        code = code.to_string().as_str(), reason = code.text(), stage = format!("{:?}", segment.mark).as_str(),
+        token = segment.token.to_string().as_str(); "{event}");
+}
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -38,6 +38,8 @@
 mod flow;
 mod follow;
 mod gateway;
+mod gateway_packets;
+mod gateway_peers;
 mod gateway_settings;
 mod guard;
 pub mod journal;
@@ -68,6 +70,7 @@
 mod time;
 mod token;
 mod trace;
+mod trail;
 
 pub use bear::Bearing;
 pub use book::{Book, Update};
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -19,6 +19,7 @@
 use crate::signal::Signals;
 use crate::time::{Ms, Time};
 use crate::token::Token;
+use crate::trail::{adopt, hear, last_segment, note_data, release, Flow, NOWHERE, TRIES};
 
 /// Flows remembered at most; some 170 bytes each, so 25 MB.
 const FLOWS_MAX: usize = 150_000;
@@ -30,26 +31,11 @@
 const TARGET_KEPT: Ms = Ms(120_000);
 /// Age of the catalogue up to which "no such service" is certain.
 const FRESH: Ms = Ms(2000);
-/// Shortest time between a packet and its repetition. Callers wait 200 ms; what
-/// comes sooner was overtaken on the way, or read late by this VM.
-const REPEAT_MIN: Ms = Ms(150);
-/// Time in which an end acknowledges data: a trip there and back, and the pause
-/// for which an end may hold an acknowledgement back.
-const ACKNOWLEDGE: Ms = Ms(100);
 /// Answer time that shows that this VM's own links are free. A VM whose packets
 /// queue at its link for longer would take targets that answer for dead ones.
 const PROMPT: Ms = Ms(150);
 /// Time within which some target must have answered promptly.
 const PROMPT_SEEN: Ms = Ms(300);
-/// Repeats that a silent target's flow needs to be given up, and fewer if the
-/// target has left the list. One packet in some ten thousand is lost.
-const REPEATS_LISTED: u8 = 2;
-const REPEATS_LEFT: u8 = 1;
-/// Flows of a silent target that each repeated once, enough to give it up: two
-/// packets lost independently within one silence are as rare as one lost twice.
-const REPEATERS: u32 = 2;
-/// Targets that the copies of one opening packet may go to.
-const TRIES: usize = 3;
 
 /// Times that the deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -140,30 +126,6 @@
     removed: bool,
 }
 
-/// What is remembered of a flow.
-#[derive(Debug, Clone, Copy)]
-struct Flow {
-    caller: Address,
-    service: Address,
-    target: usize,
-    seen: Time,
-    /// Time of the request that has no answer yet.
-    asked: Option<Time>,
-    /// Number after the last byte that the caller sent.
-    sent: u32,
-    /// Next byte that the caller expects.
-    acked: u32,
-    stage: Stage,
-    tried: [usize; TRIES],
-    /// Last time that data was forwarded.
-    data: Time,
-    /// Repetitions of the data since it was first forwarded.
-    repeats: u8,
-}
-
-/// No target.
-const NOWHERE: usize = usize::MAX;
-
 /// Decisions of one VM on packets that carry tokens.
 #[derive(Debug)]
 pub struct Steering {
@@ -648,7 +610,15 @@
         }
         let mut dead = false;
         if segment.len > 0 && known {
-            dead = note_data(now, self.drained, segment, flow, target);
+            let listed = target.left.is_none();
+            dead = note_data(
+                now,
+                self.drained,
+                segment,
+                flow,
+                &mut target.signals,
+                listed,
+            );
         }
         if segment.mark == Stage::Close && flow.stage != Stage::Close {
             release(&mut target.signals, flow);
@@ -772,111 +742,3 @@
         });
     }
 }
-
-/// A flow that another VM opened.
-fn adopt(now: Time, segment: &Segment, target: usize) -> Flow {
-    Flow {
-        caller: segment.caller,
-        service: segment.service,
-        target,
-        seen: now,
-        asked: (segment.len > 0).then_some(now),
-        sent: segment.seq.wrapping_add(segment.len),
-        acked: segment.ack,
-        stage: match segment.mark {
-            Stage::Close => Stage::Close,
-            _ => Stage::Within,
-        },
-        tried: [NOWHERE; TRIES],
-        data: now,
-        repeats: 0,
-    }
-}
-
-/// Takes in what a later packet says of the target's answers. Returns how long
-/// an answer took whose first byte it acknowledges.
-fn hear(now: Time, segment: &Segment, flow: &mut Flow, signals: &mut Signals) -> Option<Ms> {
-    if flow.stage == Stage::Open {
-        signals.heard(now);
-        flow.stage = Stage::Within;
-        flow.acked = segment.ack;
-        flow.sent = segment.seq;
-        return None;
-    }
-    let answered = is_after(segment.ack, flow.acked);
-    // A packet without data acknowledges one that has just arrived.
-    if answered || (segment.len == 0 && segment.mark == Stage::Within) {
-        signals.heard(now);
-        flow.repeats = 0;
-    }
-    if !answered {
-        return None;
-    }
-    flow.acked = segment.ack;
-    let took = now.since(flow.asked.take()?);
-    signals.answered(took);
-    signals.waiting = signals.waiting.saturating_sub(1);
-    Some(took)
-}
-
-/// Takes in a packet with data. Returns whether it shows that the target died.
-fn note_data(
-    now: Time,
-    drained: Time,
-    segment: &Segment,
-    flow: &mut Flow,
-    target: &mut Target,
-) -> bool {
-    let signals = &mut target.signals;
-    let end = segment.seq.wrapping_add(segment.len);
-    if is_after(end, flow.sent) {
-        if flow.asked.replace(now).is_none() {
-            signals.waiting += 1;
-        }
-        flow.sent = end;
-        flow.data = now;
-        flow.repeats = 0;
-        return false;
-    }
-    if now.since(flow.data) < REPEAT_MIN || drained < flow.data + ACKNOWLEDGE {
-        return false;
-    }
-    flow.data = now;
-    flow.repeats = flow.repeats.saturating_add(1);
-    signals.repeated(now);
-    let several = flow.repeats == 1 && signals.add_repeater() >= REPEATERS;
-    let enough = match target.left {
-        Some(_) => REPEATS_LEFT,
-        None => REPEATS_LISTED,
-    };
-    let asked = flow.asked.unwrap_or(now);
-    let shown = several || flow.repeats >= enough;
-    flow.asked.is_some() && shown && signals.is_silent_since(asked)
-}
-
-/// The last packet that a flow's caller sent, as far as it is remembered.
-fn last_segment(flow: &Flow, token: Token) -> Segment {
-    Segment {
-        caller: flow.caller,
-        service: flow.service,
-        mark: Stage::Within,
-        token,
-        seq: flow.sent,
-        ack: flow.acked,
-        len: 0,
-    }
-}
-
-fn release(signals: &mut Signals, flow: &Flow) {
-    if flow.stage != Stage::Close {
-        signals.flows = signals.flows.saturating_sub(1);
-    }
-    if flow.asked.is_some() {
-        signals.waiting = signals.waiting.saturating_sub(1);
-    }
-}
-
-/// Whether `a` lies after `b` on the circle of sequence numbers.
-fn is_after(a: u32, b: u32) -> bool {
-    (a.wrapping_sub(b) as i32) > 0
-}
