Take the tables of the catalogue out of the steering

Cause: steer.rs still had two jobs: tables made from the catalogue, and decisions. Change: Table holds routes, services, failure domains and targets with its own state; Steering calls it and it never calls back.

--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -67,6 +67,7 @@
 mod steer;
 mod steward;
 mod store;
+mod table;
 mod time;
 mod token;
 mod trace;
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -7,18 +7,15 @@
 use std::collections::hash_map::Entry;
 
 use rustc_hash::FxHashMap;
-use wire::{
-    Address, Body, DomainId, DomainState, HostId, Incarnation, Object, Pool, ServiceId, State,
-};
+use wire::{DomainId, HostId, Object};
 
 use crate::code::Code;
 use crate::msg::FlowKey;
 use crate::place::{self, Candidate, Choice};
 use crate::rank;
 use crate::segment::{Segment, Stage, Verdict};
-use crate::signal::Signals;
+use crate::table::{Table, Target};
 use crate::time::{Ms, Time};
-use crate::token::Token;
 use crate::trail::{adopt, hear, last_segment, note_data, release, Flow, NOWHERE, TRIES};
 
 /// Flows remembered at most; some 170 bytes each, so 25 MB.
@@ -80,56 +77,9 @@
     pub flows: usize,
 }
 
-#[derive(Debug)]
-struct Target {
-    host: HostId,
-    life: Incarnation,
-    address: Address,
-    domain: usize,
-    service: usize,
-    token: Token,
-    slots: u32,
-    state: State,
-    /// When it left the list.
-    left: Option<Time>,
-    /// End of its cold start.
-    cold: Time,
-    signals: Signals,
-}
-
-#[derive(Debug)]
-struct Service {
-    id: ServiceId,
-    pool: Option<Pool>,
-    targets: Vec<usize>,
-    tokens: FxHashMap<Token, usize>,
-}
-
-#[derive(Debug)]
-struct Domain {
-    id: DomainId,
-    /// Whether this VM runs there.
-    near: bool,
-    /// Since when it is out of service.
-    out: Option<Time>,
-}
-
-#[derive(Debug)]
-struct Route {
-    name: Box<str>,
-    shares: Vec<(usize, u32)>,
-    /// Services that any version of the route has led to.
-    allowed: Vec<usize>,
-    goal: Ms,
-    /// Requests inside may not be repeated.
-    once: bool,
-    removed: bool,
-}
-
 /// Decisions of one VM on packets that carry tokens.
 #[derive(Debug)]
 pub struct Steering {
-    home: DomainId,
     bounds: Bounds,
     /// VMs of this failure domain.
     peers: u32,
@@ -139,12 +89,7 @@
     drained: Time,
     /// Last prompt answer of any target.
     prompt: Option<Time>,
-    routes: FxHashMap<Address, Route>,
-    names: FxHashMap<Box<str>, Address>,
-    services: Vec<Service>,
-    domains: Vec<Domain>,
-    targets: Vec<Target>,
-    hosts: FxHashMap<HostId, usize>,
+    table: Table,
     flows: FxHashMap<FlowKey, Flow>,
     opening: Option<Opening>,
     resets: Vec<Segment>,
@@ -156,19 +101,13 @@
     /// A VM of failure domain `home` that knows nothing yet.
     pub fn new(home: DomainId, bounds: Bounds) -> Steering {
         Steering {
-            home,
             bounds,
             peers: 1,
             now: Time(0),
             confirmed: None,
             drained: Time(0),
             prompt: None,
-            routes: FxHashMap::default(),
-            names: FxHashMap::default(),
-            services: Vec::new(),
-            domains: Vec::new(),
-            targets: Vec::new(),
-            hosts: FxHashMap::default(),
+            table: Table::new(home),
             flows: FxHashMap::default(),
             opening: None,
             resets: Vec::new(),
@@ -205,13 +144,13 @@
 
     /// Targets that may get new flows.
     pub fn open_targets(&self) -> usize {
-        let open = |t: &&Target| self.takes_new(t);
-        self.targets.iter().filter(open).count()
+        let open = |t: &&Target| self.table.takes_new(t, self.now);
+        self.table.targets.iter().filter(open).count()
     }
 
     /// Targets that seem not to answer.
     pub fn suspects(&self) -> usize {
-        let listed = self.targets.iter().filter(|t| t.left.is_none());
+        let listed = self.table.targets.iter().filter(|t| t.left.is_none());
         listed.filter(|t| t.signals.is_suspect(self.now)).count()
     }
 
@@ -239,188 +178,13 @@
     /// Takes in a changed object of the catalogue.
     pub fn apply(&mut self, now: Time, object: &Object) {
         self.now = self.now.max(now);
-        match (&*object.key.kind, &object.body) {
-            ("route", Body::Route(route)) => self.set_route(&object.key.name, route),
-            ("route", Body::Removed) => self.remove_route(&object.key.name),
-            ("pool", Body::Pool(pool)) => {
-                if let Ok(id) = object.key.name.parse() {
-                    let service = self.service(&id);
-                    self.services[service].pool = Some(pool.clone());
-                }
-            }
-            ("domain", Body::Domain { state }) => self.set_domain(&object.key.name, *state),
-            ("domain", Body::Removed) => self.set_domain(&object.key.name, DomainState::In),
-            ("host", Body::Host(host)) => self.set_target(host),
-            ("host", Body::Removed) => {
-                let id = object.key.name.parse().ok();
-                if let Some(i) = id.and_then(|id| self.hosts.get(&id)) {
-                    self.targets[*i].left = Some(self.now);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn set_route(&mut self, name: &str, route: &wire::Route) {
-        self.remove_route(name);
-        let shares: Vec<(usize, u32)> = route
-            .shares
-            .iter()
-            .map(|s| (self.service(&s.service), s.weight))
-            .collect();
-        let known = self.routes.remove(&route.address);
-        let mut allowed = known.map_or_else(Vec::new, |r| r.allowed);
-        for (service, _) in &shares {
-            if !allowed.contains(service) {
-                allowed.push(*service);
-            }
-        }
-        let route_state = Route {
-            name: name.into(),
-            shares,
-            allowed,
-            goal: Ms(route.goal_ms),
-            once: route.once,
-            removed: false,
-        };
-        self.names.insert(name.into(), route.address);
-        self.routes.insert(route.address, route_state);
-    }
-
-    fn remove_route(&mut self, name: &str) {
-        let Some(address) = self.names.remove(name) else {
-            return;
-        };
-        let route = self.routes.get_mut(&address);
-        if let Some(route) = route.filter(|r| *r.name == *name) {
-            route.removed = true;
-        }
-    }
-
-    fn set_domain(&mut self, name: &str, state: DomainState) {
-        let Ok(id) = name.parse() else {
-            return;
-        };
-        let domain = self.domain(&id);
-        let was = self.domains[domain].out;
-        match state {
-            DomainState::Out => {
-                self.domains[domain].out.get_or_insert(self.now);
-            }
-            DomainState::In => self.domains[domain].out = None,
-        }
-        if was.is_some() && state == DomainState::In {
-            self.chill(domain);
-        }
-    }
-
-    /// Treats a returning failure domain's targets as cold: they may have
-    /// started again while it was out, and the list may not show it yet.
-    fn chill(&mut self, domain: usize) {
-        for target in self.targets.iter_mut().filter(|t| t.domain == domain) {
-            let pool = self.services[target.service].pool.as_ref();
-            let cold = Ms(pool.map_or(0, |p| p.cold_ms));
-            if cold > Ms(0) {
-                target.cold = target.cold.max(self.now + self.bounds.lag + cold);
-            }
-        }
-    }
-
-    fn set_target(&mut self, host: &wire::Host) {
-        let service = self.service(&host.service);
-        let domain = self.domain(&host.domain);
-        let index = match self.hosts.get(&host.id) {
-            Some(i) => *i,
-            None => self.add_target(host, service, domain),
-        };
-        let target = &mut self.targets[index];
-        if target.life != host.life {
-            target.signals = Signals::default();
-            target.life = host.life;
-        }
-        target.address = host.address;
-        target.domain = domain;
-        target.slots = host.slots;
-        target.state = host.state;
-        target.left = None;
-        if host.cold_ms > 0 {
-            target.cold = self.now + Ms(host.cold_ms) + self.bounds.lag;
-        }
-        let token = Token::of(host.id, host.life);
-        target.token = token;
-        let old = std::mem::replace(&mut target.service, service);
-        if old != service {
-            self.services[old].targets.retain(|i| *i != index);
-            self.services[service].targets.push(index);
-        }
-        self.claim_token(service, token, index);
-    }
-
-    /// Of two targets with one token, the older life keeps it: its flows were
-    /// there first. The other gets no flows.
-    fn claim_token(&mut self, service: usize, token: Token, index: usize) {
-        let rank = |i: usize| (self.targets[i].life, self.targets[i].host);
-        let wins = match self.services[service].tokens.get(&token) {
-            Some(other) if *other != index => {
-                let held = self.targets[*other].token == token;
-                !held || rank(index) < rank(*other)
-            }
-            _ => true,
-        };
-        if wins {
-            self.services[service].tokens.insert(token, index);
-        }
-    }
-
-    fn add_target(&mut self, host: &wire::Host, service: usize, domain: usize) -> usize {
-        let index = self.targets.len();
-        self.targets.push(Target {
-            host: host.id,
-            life: host.life,
-            address: host.address,
-            domain,
-            service,
-            token: Token::of(host.id, host.life),
-            slots: host.slots,
-            state: host.state,
-            left: None,
-            cold: Time(0),
-            signals: Signals::default(),
-        });
-        self.hosts.insert(host.id, index);
-        self.services[service].targets.push(index);
-        index
-    }
-
-    fn service(&mut self, id: &ServiceId) -> usize {
-        if let Some(i) = self.services.iter().position(|s| s.id == *id) {
-            return i;
-        }
-        self.services.push(Service {
-            id: id.clone(),
-            pool: None,
-            targets: Vec::new(),
-            tokens: FxHashMap::default(),
-        });
-        self.services.len() - 1
-    }
-
-    fn domain(&mut self, id: &DomainId) -> usize {
-        if let Some(i) = self.domains.iter().position(|d| d.id == *id) {
-            return i;
-        }
-        self.domains.push(Domain {
-            id: id.clone(),
-            near: *id == self.home,
-            out: None,
-        });
-        self.domains.len() - 1
+        self.table.apply(self.now, self.bounds.lag, object);
     }
 
     /// Decides on a caller's packet.
     pub fn packet(&mut self, now: Time, segment: &Segment) -> Verdict {
         self.now = self.now.max(now);
-        let Some(route) = self.routes.get(&segment.service) else {
+        let Some(route) = self.table.routes.get(&segment.service) else {
             return self.unknown_route(segment);
         };
         if route.removed {
@@ -452,7 +216,7 @@
         let tried = repeat.map_or([NOWHERE; TRIES], |f| f.tried);
         if let Some(flow) = repeat {
             // The copy shows that the last choice has not answered yet.
-            self.targets[flow.target].signals.repeated(self.now);
+            self.table.targets[flow.target].signals.repeated(self.now);
         }
         let Some(choice) = self.choose(segment, key, &tried) else {
             return Verdict::Reset(Code::NoRoom);
@@ -474,7 +238,7 @@
         };
         flow.tried[copies.min(TRIES - 1)] = choice.target;
         self.remember(key, flow);
-        let target = &mut self.targets[choice.target];
+        let target = &mut self.table.targets[choice.target];
         target.signals.opened(self.now);
         self.opening = Some(Opening {
             host: target.host,
@@ -492,7 +256,7 @@
     }
 
     fn choose(&self, segment: &Segment, key: FlowKey, tried: &[usize]) -> Option<Choice> {
-        let route = self.routes.get(&segment.service)?;
+        let route = self.table.routes.get(&segment.service)?;
         let shares: Vec<(usize, u64, u32)> = route
             .shares
             .iter()
@@ -511,18 +275,18 @@
     }
 
     fn candidates(&self, service: usize, key: FlowKey, tried: &[usize]) -> Vec<Candidate> {
-        let service = &self.services[service];
+        let service = &self.table.services[service];
         let conns = service.pool.as_ref().map_or(u32::MAX, |p| p.conns);
         let candidate = |i: &usize| {
-            let target = &self.targets[*i];
+            let target = &self.table.targets[*i];
             let signals = &target.signals;
             let suspect = signals.is_suspect(self.now) && !signals.is_due(self.now);
-            let open = self.takes_new(target)
+            let open = self.table.takes_new(target, self.now)
                 && service.tokens.get(&target.token) == Some(i)
                 && signals.flows < conns;
             open.then(|| Candidate {
                 target: *i,
-                near: self.domains[target.domain].near,
+                near: self.table.domains[target.domain].near,
                 suspect: suspect || tried.contains(i),
                 load: place::load(signals.flows, signals.waiting, target.slots),
                 answer: signals.answer_time(),
@@ -533,28 +297,23 @@
         service.targets.iter().filter_map(candidate).collect()
     }
 
-    /// Whether a target may get new flows. A cold one gets none: what it bears
-    /// is a sum over all VMs, and some other target nearly always has room.
-    fn takes_new(&self, target: &Target) -> bool {
-        target.state == State::Live
-            && target.left.is_none()
-            && target.cold <= self.now
-            && self.domains[target.domain].out.is_none()
-    }
-
     fn later(&mut self, segment: &Segment) -> Verdict {
-        let Some(index) = self.target_of(segment) else {
+        let Some(index) = self.table.target_of(segment) else {
             return Verdict::Drop(Code::NoFlow);
         };
-        let domain = &self.domains[self.targets[index].domain];
+        let domain = &self.table.domains[self.table.targets[index].domain];
         let left = |at: Time| self.now.since(at) >= self.bounds.leave;
         if domain.out.is_some_and(left) {
             self.forget(segment.key());
             return Verdict::Drop(Code::FlowEnded);
         }
         self.watch(segment, index);
-        let once = self.routes.get(&segment.service).is_some_and(|r| r.once);
-        let target = &mut self.targets[index];
+        let once = self
+            .table
+            .routes
+            .get(&segment.service)
+            .is_some_and(|r| r.once);
+        let target = &mut self.table.targets[index];
         if segment.len > 0 && target.signals.is_given_up() {
             let waits = self
                 .flows
@@ -566,7 +325,7 @@
                 return Verdict::Reset(Code::FlowEnded);
             }
         }
-        let target = &self.targets[index];
+        let target = &self.table.targets[index];
         Verdict::Forward {
             host: target.host,
             address: target.address,
@@ -574,21 +333,6 @@
         }
     }
 
-    /// The target that a later packet names. Tokens are looked up among the
-    /// route's services first. A flow may be older than what this VM knows of
-    /// the route, so a token that names one target of all services counts too.
-    fn target_of(&self, segment: &Segment) -> Option<usize> {
-        let route = self.routes.get(&segment.service)?;
-        let find = |service: &Service| service.tokens.get(&segment.token).copied();
-        let mut allowed = route.allowed.iter().map(|i| &self.services[*i]);
-        if let Some(target) = allowed.find_map(find) {
-            return Some(target);
-        }
-        let mut others = self.services.iter().filter_map(find);
-        let target = others.next()?;
-        others.next().is_none().then_some(target)
-    }
-
     /// Learns from a later packet how its target does.
     fn watch(&mut self, segment: &Segment, index: usize) {
         let key = segment.key();
@@ -601,7 +345,7 @@
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
-        let target = &mut self.targets[index];
+        let target = &mut self.table.targets[index];
         flow.seen = now;
         let took = hear(now, segment, flow, &mut target.signals);
         self.answer = took;
@@ -635,7 +379,7 @@
     /// for their deadlines to find out. Requests in progress that may not be
     /// repeated are left alone: an answer may still come.
     fn give_up(&mut self, index: usize, cause: FlowKey) {
-        let target = &mut self.targets[index];
+        let target = &mut self.table.targets[index];
         if target.signals.is_given_up() {
             return;
         }
@@ -652,7 +396,7 @@
             listed: target.left.is_none(),
             flows: 0,
         };
-        let routes = &self.routes;
+        let routes = &self.table.routes;
         let ends = |(key, flow): &(&FlowKey, &Flow)| {
             let once = routes.get(&flow.service).is_some_and(|r| r.once);
             let open = flow.target == index && flow.stage == Stage::Within;
@@ -678,7 +422,7 @@
         }
         if let Entry::Vacant(slot) = self.flows.entry(key) {
             slot.insert(flow);
-            let signals = &mut self.targets[flow.target].signals;
+            let signals = &mut self.table.targets[flow.target].signals;
             signals.flows += u32::from(flow.stage != Stage::Close);
             signals.waiting += u32::from(flow.asked.is_some());
         }
@@ -686,7 +430,7 @@
 
     fn forget(&mut self, key: FlowKey) {
         if let Some(flow) = self.flows.remove(&key) {
-            release(&mut self.targets[flow.target].signals, &flow);
+            release(&mut self.table.targets[flow.target].signals, &flow);
         }
     }
 
@@ -694,7 +438,7 @@
     pub fn sweep(&mut self, now: Time) {
         self.now = self.now.max(now);
         let now = self.now;
-        let targets = &mut self.targets;
+        let targets = &mut self.table.targets;
         self.flows.retain(|_, flow| {
             let kept = now.since(flow.seen) < FLOW_IDLE;
             if !kept {
@@ -703,27 +447,27 @@
             kept
         });
         let gone = |t: &Target| t.left.is_some_and(|at| now.since(at) >= TARGET_KEPT);
-        if self.targets.iter().any(gone) {
+        if self.table.targets.iter().any(gone) {
             self.drop_targets(gone);
         }
     }
 
     /// Removes targets and renumbers the others.
     fn drop_targets(&mut self, gone: impl Fn(&Target) -> bool) {
-        let mut moved = vec![NOWHERE; self.targets.len()];
+        let mut moved = vec![NOWHERE; self.table.targets.len()];
         let mut next = 0;
-        for (i, target) in self.targets.iter().enumerate() {
+        for (i, target) in self.table.targets.iter().enumerate() {
             if !gone(target) {
                 moved[i] = next;
                 next += 1;
             }
         }
-        self.targets.retain(|t| !gone(t));
-        self.hosts.retain(|_, i| {
+        self.table.targets.retain(|t| !gone(t));
+        self.table.hosts.retain(|_, i| {
             *i = moved[*i];
             *i != NOWHERE
         });
-        for service in &mut self.services {
+        for service in &mut self.table.services {
             service.targets.retain_mut(|i| {
                 *i = moved[*i];
                 *i != NOWHERE
