--- a/burdocklever/src/signal.rs
+++ b/burdocklever/src/signal.rs
@@ -36,8 +36,6 @@
     tried: Option<Time>,
     /// First repeated packet since the last sign of life.
     repeated: Option<Time>,
-    /// Flows that repeated a packet since the last sign of life.
-    repeaters: u32,
     /// Last sign of life.
     heard: Option<Time>,
     /// Whether it was given up, and when a packet last tested it.
@@ -56,7 +54,6 @@
         self.heard = Some(now);
         self.asked = None;
         self.repeated = None;
-        self.repeaters = 0;
         self.given_up = None;
     }
 
@@ -98,13 +95,6 @@
         self.repeated.get_or_insert(now);
     }
 
-    /// Notes that one more flow had to repeat a packet. Returns how many had to
-    /// since the last sign of life.
-    pub(crate) fn add_repeater(&mut self) -> u32 {
-        self.repeaters += 1;
-        self.repeaters
-    }
-
     /// Mean time to the first byte of an answer; zero if unknown.
     pub(crate) fn answer_time(&self) -> Ms {
         Ms(u64::from(self.mean_us / 1000))
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -354,15 +354,7 @@
         }
         let mut dead = false;
         if segment.len > 0 && known {
-            let listed = target.left.is_none();
-            dead = note_data(
-                now,
-                self.drained,
-                segment,
-                flow,
-                &mut target.signals,
-                listed,
-            );
+            dead = note_data(now, self.drained, segment, flow, &mut target.signals);
         }
         if segment.mark == Stage::Close && flow.stage != Stage::Close {
             release(&mut target.signals, flow);
--- a/burdocklever/src/trail.rs
+++ b/burdocklever/src/trail.rs
@@ -13,15 +13,13 @@
 /// Time in which an end acknowledges data: a trip there and back, and the pause
 /// for which an end may hold an acknowledgement back.
 const ACKNOWLEDGE: Ms = Ms(100);
-/// Flows of a silent target that each repeated once, enough to give it up: two
-/// packets lost independently within one silence are as rare as one lost twice.
-const REPEATERS: u32 = 2;
 /// Targets that the copies of one opening packet may go to.
 pub(crate) const TRIES: usize = 3;
-/// Repeats that a silent target's flow needs to be given up, and fewer if the
-/// target has left the list. One packet in some ten thousand is lost.
-const REPEATS_LISTED: u8 = 2;
-const REPEATS_LEFT: u8 = 1;
+/// Repeats that a silent target's flow needs to be given up. Callers repeat after
+/// 200 and 600 ms. A cold target with all slots and its queue of eight full takes
+/// some 300 ms for an answer and acknowledges nothing before, so one repeat, even
+/// of several flows, shows no death.
+const REPEATS: u8 = 2;
 
 /// No target.
 pub(crate) const NOWHERE: usize = usize::MAX;
@@ -105,7 +103,6 @@
     segment: &Segment,
     flow: &mut Flow,
     signals: &mut Signals,
-    listed: bool,
 ) -> bool {
     let end = segment.seq.wrapping_add(segment.len);
     if is_after(end, flow.sent) {
@@ -123,11 +120,8 @@
     flow.data = now;
     flow.repeats = flow.repeats.saturating_add(1);
     signals.repeated(now);
-    let several = flow.repeats == 1 && signals.add_repeater() >= REPEATERS;
-    let enough = if listed { REPEATS_LISTED } else { REPEATS_LEFT };
     let asked = flow.asked.unwrap_or(now);
-    let shown = several || flow.repeats >= enough;
-    flow.asked.is_some() && shown && signals.is_silent_since(asked)
+    flow.asked.is_some() && flow.repeats >= REPEATS && signals.is_silent_since(asked)
 }
 
 /// The last packet that a flow's caller sent, as far as it is remembered.
