Control on ports; a taken address ends the start with its error

A start whose datagram address was taken panicked while it dropped the runtime of the packets' thread, found by a test that failed once on a port another test had.

Ruled out: a simulated HTTP server for each VM: 5,200 of them need more processes and descriptors than a machine has.

Change: module control (Control, Known, Ports) holds the loops of gateway_peers and the answer to peers; exchange only speaks HTTP; the packets' thread builds its own runtime. Decisions are the same as before.

Before: a_taken_address_ends_the_start_with_a_numbered_error fails (panic). After: passes.

--- /dev/null
+++ b/burdocklever/src/control.rs
@@ -0,0 +1,441 @@
+//! Keeps what a VM knows up to date: from peers, or from the store.
+//!
+//! Runs on ports: a store, peers, a clock and a source of chance. Real ones make
+//! a gateway; simulated ones let a whole fleet run in one process.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use wire::{Address, Body, Object, ObjectKey, Version, Vm, VmId};
+
+use crate::book::{Book, Update};
+use crate::code::Code;
+use crate::follow::{follow, register, register_pause};
+use crate::platform::{Error, Result};
+use crate::relay::{self, age_max, Relay};
+use crate::store::{Call, Entry, Feed, Store};
+use crate::time::{Ms, Time};
+
+/// Time that seeds have to answer a VM that starts before it reads the store.
+/// They answer in about 5 ms.
+const SEED_WAIT: Ms = Ms(15);
+/// Time between looks at the VM that this one looks after, and looks without
+/// an answer after which its entry is removed: more than a failure domain is
+/// cut off for, usually.
+const LOOK: Duration = Duration::from_secs(30);
+const LOOKS: u32 = 6;
+/// Time that a VM takes to read from the store what a peer would not tell.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Pause before a peer is asked again after one failed.
+const PEER_RETRY: Ms = Ms(100);
+/// Longest time that a peer may be asked to wait. With it and the trip there,
+/// what the asker knows is no older than `relay::age_max` while all is well.
+pub(crate) const WAIT: Ms = Ms(800);
+/// Time that the trip to a peer and back may take, and its processor time.
+const TRIP: Ms = Ms(400);
+/// Bytes a second that a VM tells its peers, and as a burst: a tenth of the
+/// smallest link, 10 Mbit/s. Packets share the link; larger news is read from
+/// the store.
+const BYTES_RATE: u64 = 125_000;
+
+/// What one VM asks another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Question {
+    /// Revision up to which the asker knows each feed.
+    pub from: [Version; Feed::COUNT],
+    /// Time that it is willing to wait for news.
+    pub wait: Ms,
+}
+
+/// Asks the peer at an address, for so long at most.
+pub type AskPeer = dyn Fn(Address, Question, Ms) -> Call<Update> + Send + Sync;
+
+/// What is to be told of what a VM learns.
+#[derive(Debug)]
+pub enum News<'a> {
+    /// Objects that changed, and what is known now.
+    Changed(&'a [Object], &'a Book),
+    /// A call to the store failed.
+    Failed(Feed),
+}
+
+/// Connections of a VM's control to the world.
+pub struct Ports {
+    /// The platform's store.
+    pub store: Store,
+    /// Other VMs.
+    pub ask: Box<AskPeer>,
+    /// This VM's monotonic clock.
+    pub clock: Box<dyn Fn() -> Time + Send + Sync>,
+    /// Random numbers from 0 to 1, so that VMs do not call together.
+    pub chance: Box<dyn Fn() -> f64 + Send + Sync>,
+    /// Hears what was learned.
+    pub tell: Box<dyn Fn(News<'_>) + Send + Sync>,
+}
+
+/// What a VM knows, and how it got it.
+pub struct Known {
+    book: Mutex<Book>,
+    /// Counts changes of the book, for peers that wait for one.
+    changes: watch::Sender<u64>,
+    /// Whether this VM reads the store itself.
+    direct: watch::Sender<bool>,
+    /// Feeds whose store does not answer.
+    lost: Mutex<BTreeSet<Feed>>,
+    /// Bytes that may be told peers now.
+    allowance: Mutex<Allowance>,
+    /// Answers that peers got.
+    told: AtomicU64,
+    ask: Box<AskPeer>,
+    pub(crate) clock: Box<dyn Fn() -> Time + Send + Sync>,
+    pub(crate) chance: Box<dyn Fn() -> f64 + Send + Sync>,
+    tell: Box<dyn Fn(News<'_>) + Send + Sync>,
+}
+
+/// Bytes that may be told now.
+#[derive(Debug)]
+struct Allowance {
+    bytes: u64,
+    filled: Time,
+}
+
+impl Allowance {
+    /// Takes `bytes` if so many are left.
+    fn take(&mut self, now: Time, bytes: u64) -> bool {
+        let fresh = now.since(self.filled).0.saturating_mul(BYTES_RATE) / 1000;
+        self.bytes = self.bytes.saturating_add(fresh).min(BYTES_RATE);
+        self.filled = now;
+        let fits = bytes <= self.bytes;
+        if fits {
+            self.bytes -= bytes;
+        }
+        fits
+    }
+}
+
+/// A VM's control, running until it is dropped.
+pub struct Control {
+    known: Arc<Known>,
+    tasks: JoinSet<()>,
+    own: Vm,
+}
+
+impl Control {
+    /// Starts to learn as VM `own`, from `seeds` first.
+    pub fn spawn(own: Vm, seeds: &[Address], ports: Ports) -> Control {
+        let known = Arc::new(Known {
+            book: Mutex::default(),
+            changes: watch::Sender::new(0),
+            direct: watch::Sender::new(false),
+            lost: Mutex::default(),
+            allowance: Mutex::new(Allowance {
+                bytes: BYTES_RATE,
+                filled: Time(0),
+            }),
+            told: AtomicU64::new(0),
+            ask: ports.ask,
+            clock: ports.clock,
+            chance: ports.chance,
+            tell: ports.tell,
+        });
+        let mut control = Control {
+            known,
+            tasks: JoinSet::new(),
+            own,
+        };
+        control.restart(seeds, ports.store);
+        control
+    }
+
+    /// Starts anew with another store. What is known stays.
+    pub fn restart(&mut self, seeds: &[Address], store: Store) {
+        self.tasks.abort_all();
+        let store = Arc::new(store);
+        for feed in Feed::ALL {
+            let direct = self.known.direct.subscribe();
+            let reading = follow(self.known.clone(), store.clone(), feed, direct);
+            self.tasks.spawn(reading);
+        }
+        let relay = Relay::new(self.own.member.vm, self.own.domain.clone());
+        let asking = ask_peers(self.known.clone(), relay, seeds.to_vec());
+        self.tasks.spawn(asking);
+        let keeping = keep_entry(self.known.clone(), store.clone(), self.own.clone());
+        self.tasks.spawn(keeping);
+        let looking = look_after_next(self.known.clone(), store, self.own.member.vm);
+        self.tasks.spawn(looking);
+    }
+
+    /// What the VM knows.
+    pub fn known(&self) -> Arc<Known> {
+        self.known.clone()
+    }
+}
+
+impl Known {
+    /// What is known now.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        // A panic in one place must not stop the others.
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Runs a step on what is known.
+    pub(crate) fn with<T>(&self, step: impl FnOnce(Time, &mut Book) -> T) -> T {
+        let mut book = self.book();
+        step((self.clock)(), &mut book)
+    }
+
+    /// Feeds whose store does not answer.
+    pub fn feeds_lost(&self) -> usize {
+        self.lost.lock().unwrap_or_else(|e| e.into_inner()).len()
+    }
+
+    /// Whether the VM reads the store itself.
+    pub fn is_direct(&self) -> bool {
+        *self.direct.borrow()
+    }
+
+    /// Answers that peers got.
+    pub fn told(&self) -> u64 {
+        self.told.load(Ordering::Relaxed)
+    }
+
+    /// What an asker lacks, as it travels. Waits for news while there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoPeer`] while nothing fresh is known, [`Code::TooMuch`] if the
+    /// answer is more than the link should carry.
+    pub async fn answer(&self, question: &Question) -> Result<Vec<u8>> {
+        let mut changed = self.changes.subscribe();
+        changed.borrow_and_update();
+        let mut update = self.update(question)?;
+        if update.objects.is_empty() {
+            let wait = Duration::from_millis(question.wait.0.min(WAIT.0));
+            // A timeout is an answer too: nothing has changed.
+            let _ = tokio::time::timeout(wait, changed.changed()).await;
+            update = self.update(question)?;
+        }
+        let body = rmp_serde::to_vec(&update).map_err(no_peer)?;
+        let now = (self.clock)();
+        let mut allowance = self.allowance.lock().unwrap_or_else(|e| e.into_inner());
+        if !allowance.take(now, body.len() as u64) {
+            return Err(Error {
+                code: Code::TooMuch,
+                detail: "read it from the store".into(),
+            });
+        }
+        self.told.fetch_add(1, Ordering::Relaxed);
+        Ok(body)
+    }
+
+    fn update(&self, question: &Question) -> Result<Update> {
+        self.with(|now, book| {
+            if book.fresh_for(now, age_max) == Ms(0) {
+                return Err(no_peer("nothing fresh is known"));
+            }
+            Ok(book.update(now, &question.from))
+        })
+    }
+
+    /// Takes in what changed, and wakes peers that wait for it.
+    pub(crate) fn adopt(&self, objects: &[Object]) {
+        (self.tell)(News::Changed(objects, &self.book()));
+        log_changes(objects);
+        if !objects.is_empty() {
+            self.changes.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Takes in that a call to the store failed.
+    pub(crate) fn failed(&self, feed: Feed, error: &Error) {
+        (self.tell)(News::Failed(feed));
+        let mut lost = self.lost.lock().unwrap_or_else(|e| e.into_inner());
+        if lost.insert(feed) {
+            log::warn!(target: "store", feed = feed.to_string().as_str(),
+                error = error.to_string().as_str();
+                "store lost, going on with what is known");
+        }
+    }
+
+    /// Takes in that the store answers again.
+    pub(crate) fn regained(&self, feed: Feed) {
+        let mut lost = self.lost.lock().unwrap_or_else(|e| e.into_inner());
+        if lost.remove(&feed) {
+            log::info!(target: "store", feed = feed.to_string().as_str(); "store regained");
+        }
+    }
+
+    fn learn_from_peer(&self, update: Update) {
+        let fresh = self.with(|now, book| book.learn(now, update));
+        self.adopt(&fresh);
+    }
+
+    /// Starts or stops to read the store.
+    fn read_store(&self, on: bool) {
+        let changed = self
+            .direct
+            .send_if_modified(|direct| std::mem::replace(direct, on) != on);
+        if changed {
+            log::info!(target: "peer", direct = on; "reads the store itself");
+        }
+    }
+
+    fn question(&self, wait: Ms) -> Question {
+        Question {
+            from: self.book().all_through(),
+            wait,
+        }
+    }
+}
+
+pub(crate) fn no_peer(error: impl std::fmt::Display) -> Error {
+    Error {
+        code: Code::NoPeer,
+        detail: error.to_string().into(),
+    }
+}
+
+/// Writes this VM's entry until the store has taken it.
+async fn keep_entry(known: Arc<Known>, store: Arc<Store>, vm: Vm) {
+    let mut failed = 0;
+    while let Err(error) = register(&store, Entry::Write(vm.clone())).await {
+        if failed == 0 {
+            log::warn!(target: "store", error = error.to_string().as_str();
+                "own entry not written yet");
+        }
+        failed += 1;
+        tokio::time::sleep(register_pause(&known, failed)).await;
+    }
+}
+
+/// Removes the entry of the next VM in the ring if it is gone for good: nobody
+/// else would, since entries do not lapse.
+async fn look_after_next(known: Arc<Known>, store: Arc<Store>, own: VmId) {
+    let mut missed = (VmId(0), 0);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let next = relay::successor(own, known.book().catalogue());
+        let Some(next) = next else {
+            continue;
+        };
+        let id = next.member.vm;
+        let question = known.question(Ms(0));
+        if (known.ask)(next.peer, question, TRIP).await.is_ok() {
+            missed = (id, 0);
+            continue;
+        }
+        missed = if missed.0 == id {
+            (id, missed.1 + 1)
+        } else {
+            (id, 1)
+        };
+        if missed.1 < LOOKS {
+            continue;
+        }
+        let key = ObjectKey::new("vm", id);
+        let version = known.book().catalogue().version(&key);
+        match register(&store, Entry::Remove(id, version)).await {
+            Ok(()) => log::info!(target: "peer", vm = id.0; "entry of a VM that is gone removed"),
+            Err(error) => log::warn!(target: "peer", vm = id.0, error = error.to_string().as_str();
+                "entry of a VM that is gone not removed"),
+        }
+    }
+}
+
+/// Asks peers for the catalogue, and has the store read while none knows it
+/// well enough.
+async fn ask_peers(known: Arc<Known>, mut relay: Relay, seeds: Vec<Address>) {
+    ask_seeds(&known, &seeds).await;
+    let mut asked: Option<VmId> = None;
+    loop {
+        let now = (known.clock)();
+        let source = relay.source(now, known.book().catalogue());
+        let next = source.as_ref().map(|vm| vm.member.vm);
+        if next != asked {
+            log::info!(target: "peer", from = asked.map_or(0, |v| v.0), to = next.map_or(0, |v| v.0);
+                "source of the catalogue changes; 0 is the store");
+            asked = next;
+        }
+        let Some(vm) = source else {
+            known.read_store(true);
+            tokio::time::sleep(Duration::from_millis(WAIT.0)).await;
+            continue;
+        };
+        let fresh = known.book().fresh_for(now, age_max);
+        match ask_within(&known, fresh.max(SEED_WAIT), &vm).await {
+            Ok(update) => known.learn_from_peer(update),
+            Err(error) if error.code == Code::TooMuch => {
+                known.read_store(true);
+                tokio::time::sleep(CATCH_UP).await;
+                continue;
+            }
+            Err(error) => {
+                relay.suspect((known.clock)(), vm.member.vm);
+                log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
+                    "peer passed over for a while");
+                let pause = PEER_RETRY.min(fresh);
+                tokio::time::sleep(Duration::from_millis(pause.0)).await;
+            }
+        }
+        let fresh = known.book().fresh_for((known.clock)(), age_max);
+        known.read_store(fresh == Ms(0));
+    }
+}
+
+/// Asks a peer, and gives it up once what is known would grow too old.
+async fn ask_within(known: &Known, limit: Ms, vm: &Vm) -> Result<Update> {
+    let limit = Duration::from_millis(limit.0);
+    let asked = (known.ask)(vm.peer, known.question(WAIT), WAIT + TRIP);
+    match tokio::time::timeout(limit, asked).await {
+        Ok(answer) => answer,
+        Err(_) => Err(no_peer(format!("no answer within {limit:?}"))),
+    }
+}
+
+/// Asks all seeds at once, and goes on with the first answer, or without one.
+async fn ask_seeds(known: &Arc<Known>, seeds: &[Address]) {
+    let mut asked = JoinSet::new();
+    for seed in seeds.iter().copied() {
+        asked.spawn((known.ask)(seed, known.question(Ms(0)), TRIP));
+    }
+    let first = async {
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Ok(update)) = answer {
+                return Some(update);
+            }
+        }
+        None
+    };
+    let wait = Duration::from_millis(SEED_WAIT.0);
+    match tokio::time::timeout(wait, first).await {
+        Ok(Some(update)) => known.learn_from_peer(update),
+        _ => known.read_store(true),
+    }
+}
+
+/// Changes that are logged one by one; more than these are only counted.
+const CHANGES_LOGGED: usize = 20;
+
+fn log_changes(objects: &[Object]) {
+    if objects.len() > CHANGES_LOGGED {
+        let newest = objects.iter().map(|o| o.version.0).max();
+        log::info!(target: "catalogue", objects = objects.len(), newest = newest.unwrap_or(0);
+            "many changes");
+        return;
+    }
+    for object in objects {
+        let state = match &object.body {
+            Body::Host(host) => format!("{:?}", host.state),
+            Body::Domain { state } => format!("{state:?}"),
+            Body::Removed => "Removed".into(),
+            _ => "Set".into(),
+        };
+        log::info!(target: "catalogue", object = object.key.to_string().as_str(),
+            version = object.version.0, state = state.as_str(); "changed");
+    }
+}
--- a/burdocklever/src/follow.rs
+++ b/burdocklever/src/follow.rs
@@ -1,19 +1,18 @@
 //! Follows a store's feeds: lists them once, then watches, and reads afresh
 //! whatever a watch may have missed.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch::Receiver;
-use wire::Object;
 
-use crate::book::Book;
 use crate::code::Code;
-use crate::platform::{jitter, Error, Result};
+use crate::control::Known;
+use crate::platform::Result;
 use crate::store::{Ask, Feed, Page, Store};
-use crate::time::{Ms, Time};
+use crate::time::Ms;
 
-/// Time that a watch waits for a change. With a peer's `exchange::WAIT` it stays
+/// Time that a watch waits for a change. With a peer's `control::WAIT` it stays
 /// below `relay::age_max`, so that peers of a healthy watcher never need the
 /// store.
 const fn watch_time(feed: Feed) -> Ms {
@@ -35,81 +34,54 @@
 const RETRY_MIN: Duration = Duration::from_millis(25);
 const RETRY_MAX: Duration = Duration::from_millis(1000);
 
-/// What following a feed told.
-#[derive(Debug)]
-pub(crate) enum News {
-    /// Objects that changed, and the number of entries that cannot be used.
-    Changed(Vec<Object>, usize),
-    /// The store does not answer.
-    Lost(Error),
-    /// The store answers again.
-    Regained,
-}
-
-/// What following needs, and where it tells what it learns.
-pub(crate) struct Reader {
-    /// The store.
-    pub(crate) store: Arc<Store>,
-    /// What is known.
-    pub(crate) book: Arc<Mutex<Book>>,
-    /// This VM's monotonic clock.
-    pub(crate) clock: Box<dyn Fn() -> Time + Send + Sync>,
-    /// Tells what changed.
-    pub(crate) tell: Box<dyn Fn(Feed, News) + Send + Sync>,
-}
-
-impl Reader {
-    /// Runs a step on what is known.
-    fn with<T>(&self, step: impl FnOnce(Time, &mut Book) -> T) -> T {
-        let mut book = self.book.lock().unwrap_or_else(|e| e.into_inner());
-        step((self.clock)(), &mut book)
-    }
-}
-
 /// Follows `feed` for ever, as long as `direct` says so.
-pub(crate) async fn follow(reader: Reader, feed: Feed, mut direct: Receiver<bool>) {
+pub(crate) async fn follow(
+    known: Arc<Known>,
+    store: Arc<Store>,
+    feed: Feed,
+    mut direct: Receiver<bool>,
+) {
     let mut failed: u32 = 0;
-    let mut known = true;
+    let mut listed = true;
     loop {
         if direct.wait_for(|on| *on).await.is_err() {
             return;
         }
-        let at = reader.with(|_, book| book.through(feed));
-        let at = at.filter(|_| known);
+        let at = known.book().through(feed).filter(|_| listed);
         let timeout = Ms((CALL.0 << failed.min(3)).min(CALL_MAX.0));
         let result = match at {
-            None => list(&reader.store, feed, timeout).await,
+            None => list(&store, feed, timeout).await,
             Some(at) => {
                 let wait = watch_time(feed);
-                (reader.store.read)(feed, Ask::Watch(at, wait), wait + timeout).await
+                (store.read)(feed, Ask::Watch(at, wait), wait + timeout).await
             }
         };
-        let due = reader.with(|now, book| book.due(now, feed));
+        let due = known.with(|now, book| book.due(now, feed));
         if !due.is_empty() {
-            (reader.tell)(feed, News::Changed(due, 0));
+            known.adopt(&due);
         }
         let pause = match result {
             Ok(page) => {
                 failed = 0;
                 let first = at.is_none();
-                known = true;
-                let changed = take(&reader, feed, page, first);
+                listed = true;
+                let changed = take(&known, feed, page, first);
                 match changed && !first {
                     true => GATHER,
                     false => Duration::ZERO,
                 }
             }
             Err(error) if error.code == Code::HistoryGone => {
-                known = false;
+                listed = false;
                 Duration::ZERO
             }
             Err(error) => {
                 failed += 1;
                 if error.code != Code::Throttled {
-                    reader.with(|_, book| book.lost(feed));
+                    known.with(|_, book| book.lost(feed));
                 }
-                (reader.tell)(feed, News::Lost(error));
-                retry_pause(failed)
+                known.failed(feed, &error);
+                retry_pause(&known, failed)
             }
         };
         tokio::time::sleep(pause).await;
@@ -117,9 +89,9 @@
 }
 
 /// Takes in a page. Returns whether it changed anything.
-fn take(reader: &Reader, feed: Feed, page: Page, listed: bool) -> bool {
+fn take(known: &Known, feed: Feed, page: Page, listed: bool) -> bool {
     let skipped = page.skipped;
-    let (regained, changed) = reader.with(|now, book| {
+    let (regained, changed) = known.with(|now, book| {
         let regained = book.regained(now, feed);
         if listed {
             book.listed(feed, page.through);
@@ -131,11 +103,13 @@
         (regained, changed)
     });
     if regained {
-        (reader.tell)(feed, News::Regained);
+        known.regained(feed);
+    }
+    known.adopt(&changed);
+    if skipped > 0 {
+        log::warn!(target: "catalogue", skipped = skipped; "entries that cannot be used");
     }
-    let any = !changed.is_empty() || skipped > 0;
-    (reader.tell)(feed, News::Changed(changed, skipped));
-    any
+    !changed.is_empty() || skipped > 0
 }
 
 /// Reads all pages of a feed. The first page's revision counts for all: what
@@ -154,9 +128,9 @@
 
 /// Doubles from [`RETRY_MIN`] to [`RETRY_MAX`], half of it random so that VMs
 /// do not call together.
-fn retry_pause(failed: u32) -> Duration {
+fn retry_pause(known: &Known, failed: u32) -> Duration {
     let full = RETRY_MIN.saturating_mul(1 << failed.min(10)).min(RETRY_MAX);
-    full / 2 + (full / 2).mul_f64(jitter())
+    full / 2 + (full / 2).mul_f64((known.chance)())
 }
 
 /// Keeps this VM's entry in the store.
@@ -165,6 +139,6 @@
 }
 
 /// Pause before the next try to register.
-pub(crate) fn register_pause(failed: u32) -> Duration {
-    retry_pause(failed.max(4))
+pub(crate) fn register_pause(known: &Known, failed: u32) -> Duration {
+    retry_pause(known, failed.max(4))
 }
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -3,7 +3,7 @@
 //! One thread receives packets and does nothing else, so that no packet waits
 //! for the reading of a large catalogue. All else runs on the caller's runtime.
 
-use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -14,20 +14,16 @@
 use axum::Router;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::JoinSet;
-use wire::{Address, DomainId, HostId, Vm};
+use wire::{Address, DomainId, HostId, Member, Object, State, Vm, VmId};
 
 use crate::book::Book;
-use crate::daemon::{no_bind, Error, Result};
-use crate::follow::follow;
+use crate::control::{Control, Known, News, Ports};
+use crate::daemon::{no_bind, start_life, Error, Result};
+use crate::exchange;
 use crate::gateway_packets::receive;
-use crate::gateway_peers::{
-    ask_peers, keep_entry, look_after_next, own_entry, peer_app, peer_client, reader,
-};
 use crate::gateway_settings::GatewaySettings;
 use crate::metrics::{Metrics, Sample};
-use crate::platform;
-use crate::relay::Relay;
+use crate::platform::{self, jitter};
 use crate::segment::Segment;
 use crate::steer::{Bounds, Steering};
 use crate::store::{Feed, Store};
@@ -79,20 +75,12 @@
 
 pub(crate) struct Shared {
     pub(crate) steering: Mutex<Steering>,
-    pub(crate) book: Arc<Mutex<Book>>,
-    /// Counts changes of the book, for peers that wait for one.
-    pub(crate) changes: tokio::sync::watch::Sender<u64>,
-    /// Whether this VM reads the store itself.
-    pub(crate) direct: tokio::sync::watch::Sender<bool>,
-    pub(crate) http: reqwest::Client,
-    pub(crate) socket: UdpSocket,
+    pub(crate) socket: std::net::UdpSocket,
     pub(crate) own: Address,
     pub(crate) domain: DomainId,
     pub(crate) codec: Codec,
     pub(crate) started: Instant,
     pub(crate) stopping: AtomicBool,
-    /// Feeds whose store does not answer.
-    pub(crate) lost: Mutex<BTreeSet<Feed>>,
     /// Milliseconds since the start of the last packet.
     pub(crate) last_packet: AtomicU64,
     pub(crate) counters: Counters,
@@ -107,10 +95,6 @@
     pub(crate) fn steering(&self) -> MutexGuard<'_, Steering> {
         lock(&self.steering)
     }
-
-    fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && lock(&self.book).is_complete()
-    }
 }
 
 /// A panic in one place must not stop packets everywhere.
@@ -149,8 +133,7 @@
     path: PathBuf,
     changed: Option<SystemTime>,
     open_store: OpenStore,
-    feeds: JoinSet<()>,
-    vm: Vm,
+    control: Control,
 }
 
 impl Gateway {
@@ -166,84 +149,43 @@
         codec: Codec,
         open_store: OpenStore,
     ) -> Result<Gateway> {
-        let packets = tokio::runtime::Builder::new_current_thread()
-            .enable_io()
-            .build()
-            .map_err(no_bind)?;
-        let socket = {
-            // The socket belongs to the runtime that reads it.
-            let _guard = packets.enter();
-            let socket = std::net::UdpSocket::bind(settings.datagram).map_err(no_bind)?;
-            socket.set_nonblocking(true).map_err(no_bind)?;
-            UdpSocket::from_std(socket).map_err(no_bind)?
-        };
+        let socket = std::net::UdpSocket::bind(settings.datagram).map_err(no_bind)?;
+        socket.set_nonblocking(true).map_err(no_bind)?;
         let steering = Steering::new(settings.domain.clone(), bounds(&settings));
         let shared = Arc::new(Shared {
             steering: Mutex::new(steering),
-            book: Arc::default(),
-            changes: tokio::sync::watch::Sender::new(0),
-            direct: tokio::sync::watch::Sender::new(false),
-            http: peer_client()?,
             socket,
             own: settings.datagram,
             domain: settings.domain.clone(),
             codec,
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            lost: Mutex::default(),
             last_packet: AtomicU64::new(0),
             counters: Counters::default(),
             metrics: Metrics::open().map_err(no_bind)?,
         });
-        let mut gateway = Gateway {
-            shared: shared.clone(),
+        let store = open_store(&settings).map_err(no_store)?;
+        let ports = ports(&shared, store)?;
+        let control = Control::spawn(own_entry(&settings), &settings.seeds, ports);
+        let known = control.known();
+        if let Some(address) = settings.peer {
+            serve(address, exchange::app(known.clone())).await?;
+        }
+        spawn_receiver(shared.clone()).map_err(no_bind)?;
+        serve(settings.ready, ready_app(shared.clone(), known.clone())).await?;
+        if let Some(address) = settings.metrics {
+            serve(address, metrics_app(shared.clone(), known)).await?;
+        }
+        log::info!(target: "daemon", vm = &*settings.name, domain = settings.domain.as_str();
+            "started");
+        Ok(Gateway {
+            shared,
             changed: modified(path),
             path: path.into(),
-            vm: own_entry(&settings),
             settings,
             open_store,
-            feeds: JoinSet::new(),
-        };
-        if let Some(address) = gateway.settings.peer {
-            serve(address, peer_app(shared.clone())).await?;
-        }
-        gateway.follow_all()?;
-        let receiver = receive(shared.clone());
-        std::thread::Builder::new()
-            .name("packets".into())
-            .spawn(move || packets.block_on(receiver))
-            .map_err(no_bind)?;
-        serve(gateway.settings.ready, ready_app(shared.clone())).await?;
-        if let Some(address) = gateway.settings.metrics {
-            serve(address, metrics_app(shared)).await?;
-        }
-        log::info!(target: "daemon", vm = &*gateway.settings.name,
-            domain = gateway.settings.domain.as_str(); "started");
-        Ok(gateway)
-    }
-
-    fn follow_all(&mut self) -> Result<()> {
-        let store = (self.open_store)(&self.settings).map_err(|e| Error {
-            code: e.code,
-            detail: e.detail,
-        })?;
-        let store = Arc::new(store);
-        for feed in Feed::ALL {
-            let direct = self.shared.direct.subscribe();
-            let reader = reader(&self.shared, store.clone());
-            self.feeds.spawn(follow(reader, feed, direct));
-        }
-        let relay = Relay::new(self.vm.member.vm, self.settings.domain.clone());
-        let seeds = self.settings.seeds.clone();
-        self.feeds
-            .spawn(ask_peers(self.shared.clone(), relay, seeds));
-        if self.settings.peer.is_some() {
-            self.feeds.spawn(keep_entry(store.clone(), self.vm.clone()));
-            let own = self.vm.member.vm;
-            self.feeds
-                .spawn(look_after_next(self.shared.clone(), store, own));
-        }
-        Ok(())
+            control,
+        })
     }
 
     /// Serves until SIGTERM or SIGINT, then stops: tells the fabric, forwards
@@ -260,7 +202,7 @@
                     if modified(&self.path) != self.changed {
                         self.reload("file changed");
                     }
-                    suspects = keep_house(&self.shared, suspects);
+                    suspects = keep_house(&self.shared, &self.control.known(), suspects);
                 }
             }
         }
@@ -307,10 +249,10 @@
             log::warn!(target: "daemon", "listen addresses change only with a restart");
         }
         if old.platform != self.settings.platform {
-            self.feeds.abort_all();
-            if let Err(error) = self.follow_all() {
-                log::error!(target: "daemon", error = error.to_string().as_str();
-                    "store of the new settings not opened");
+            match (self.open_store)(&self.settings) {
+                Ok(store) => self.control.restart(&self.settings.seeds, store),
+                Err(error) => log::error!(target: "daemon", error = error.to_string().as_str();
+                    "store of the new settings not opened"),
             }
         }
         log::info!(target: "daemon", cause = cause, changed = old != self.settings;
@@ -318,6 +260,97 @@
     }
 }
 
+/// Starts the thread that receives packets. It has a runtime of its own, and
+/// builds it itself: a runtime must not be dropped inside another one.
+fn spawn_receiver(shared: Arc<Shared>) -> std::io::Result<()> {
+    let (began, begun) = std::sync::mpsc::sync_channel(1);
+    let run = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .build();
+        let opened = runtime.and_then(|runtime| {
+            let _guard = runtime.enter();
+            let socket = UdpSocket::from_std(shared.socket.try_clone()?)?;
+            Ok((runtime, socket))
+        });
+        match opened {
+            Ok((runtime, socket)) => {
+                // Whoever waits for this has not gone: it blocks until it comes.
+                let _ = began.send(Ok(()));
+                runtime.block_on(receive(shared, socket));
+            }
+            Err(error) => {
+                let _ = began.send(Err(error));
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("packets".into())
+        .spawn(run)?;
+    begun.recv().map_err(std::io::Error::other)?
+}
+
+fn no_store(error: platform::Error) -> Error {
+    Error {
+        code: error.code,
+        detail: error.detail,
+    }
+}
+
+/// This VM's entry: its address is its identity.
+fn own_entry(settings: &GatewaySettings) -> Vm {
+    let id = match settings.datagram.ip() {
+        IpAddr::V4(ip) => VmId(ip.into()),
+        IpAddr::V6(ip) => VmId(crate::rank::hash(&ip.octets()) as u32),
+    };
+    Vm {
+        member: Member {
+            vm: id,
+            life: start_life(),
+        },
+        domain: settings.domain.clone(),
+        datagram: settings.datagram,
+        peer: settings.peer.unwrap_or(settings.datagram),
+        http: settings.ready,
+        state: State::Live,
+    }
+}
+
+/// Connections of the control: HTTP to peers, changes to the steering.
+fn ports(shared: &Arc<Shared>, store: Store) -> Result<Ports> {
+    let http = reqwest::Client::builder()
+        .no_proxy()
+        .build()
+        .map_err(no_bind)?;
+    let (clock, told) = (shared.clone(), shared.clone());
+    Ok(Ports {
+        store,
+        ask: Box::new(move |address, question, timeout| {
+            Box::pin(exchange::ask(http.clone(), address, question, timeout))
+        }),
+        clock: Box::new(move || clock.now()),
+        chance: Box::new(jitter),
+        tell: Box::new(move |news| match news {
+            News::Changed(objects, book) => adopt(&told, objects, book),
+            News::Failed(_) => count(&told.counters.calls_failed),
+        }),
+    })
+}
+
+/// Steers by changed objects.
+fn adopt(shared: &Shared, objects: &[Object], book: &Book) {
+    let now = shared.now();
+    let peers = book.catalogue().vms_in(&shared.domain).count();
+    let mut steering = shared.steering();
+    steering.set_peers(peers as u32);
+    for object in objects {
+        steering.apply(now, object);
+    }
+    if let Some(at) = book.confirmed(Feed::Routes) {
+        steering.confirm(at);
+    }
+}
+
 fn bounds(settings: &GatewaySettings) -> Bounds {
     Bounds {
         leave: Ms(settings.leave.0 * LEAVE_PERCENT / 100),
@@ -330,13 +363,13 @@
 }
 
 /// Forgets what is old, and tells when targets stop or start to answer.
-fn keep_house(shared: &Shared, suspects: usize) -> usize {
+fn keep_house(shared: &Shared, known: &Known, suspects: usize) -> usize {
     let mut steering = shared.steering();
     steering.sweep(shared.now());
     let found = steering.suspects();
     let open = steering.open_targets();
     drop(steering);
-    lock(&shared.book).prune();
+    known.book().prune();
     if found != suspects {
         log::info!(target: "target", suspects = found, before = suspects, open = open;
             "targets that do not answer");
@@ -356,9 +389,13 @@
     Ok(())
 }
 
-fn ready_app(shared: Arc<Shared>) -> Router {
+fn is_ready(shared: &Shared, known: &Known) -> bool {
+    !shared.stopping.load(Ordering::Relaxed) && known.book().is_complete()
+}
+
+fn ready_app(shared: Arc<Shared>, known: Arc<Known>) -> Router {
     let answer = move || {
-        let ready = shared.is_ready();
+        let ready = is_ready(&shared, &known);
         async move {
             if ready {
                 StatusCode::OK
@@ -370,17 +407,19 @@
     Router::new().fallback(answer)
 }
 
-fn metrics_app(shared: Arc<Shared>) -> Router {
+fn metrics_app(shared: Arc<Shared>, known: Arc<Known>) -> Router {
     let answer = move || {
-        let text = shared.metrics.text(sample(&shared));
+        let text = shared.metrics.text(sample(&shared, &known));
         async move { text }
     };
     Router::new().route("/metrics", get(answer))
 }
 
-fn sample(shared: &Shared) -> Sample {
+fn sample(shared: &Shared, known: &Known) -> Sample {
     let read = |n: &AtomicU64| n.load(Ordering::Relaxed);
     let c = &shared.counters;
+    // What is known is locked before the steering, never the other way round.
+    let ready = is_ready(shared, known);
     let steering = shared.steering();
     Sample {
         counters: vec![
@@ -396,8 +435,8 @@
             ("flows", steering.flows() as u64),
             ("targets_open", steering.open_targets() as u64),
             ("targets_suspect", steering.suspects() as u64),
-            ("ready", u64::from(shared.is_ready())),
-            ("feeds_lost", lock(&shared.lost).len() as u64),
+            ("ready", u64::from(ready)),
+            ("feeds_lost", known.feeds_lost() as u64),
         ],
     }
 }
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use tokio::net::UdpSocket;
+
 use crate::code::Code;
 use crate::gateway::{count, Shared};
 use crate::segment::{Segment, Verdict};
@@ -14,15 +16,15 @@
 const PACKET_MAX: usize = 2048;
 
 /// Receives packets for ever.
-pub(crate) async fn receive(shared: Arc<Shared>) {
+pub(crate) async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
     let mut buffer = [0; PACKET_MAX];
     let mut out = Vec::with_capacity(PACKET_MAX);
     loop {
-        match shared.socket.try_recv_from(&mut buffer) {
+        match socket.try_recv_from(&mut buffer) {
             Ok((length, _)) => handle(&shared, &buffer[..length], &mut out),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
                 shared.steering().drained(shared.now());
-                if let Err(error) = shared.socket.readable().await {
+                if let Err(error) = socket.readable().await {
                     log::error!(target: "packet", error = error.to_string().as_str();
                         "socket not readable any more");
                     return;
@@ -100,7 +102,7 @@
 }
 
 fn send(shared: &Shared, packet: &[u8], to: SocketAddr) {
-    if let Err(error) = shared.socket.try_send_to(packet, to) {
+    if let Err(error) = shared.socket.send_to(packet, to) {
         count(&shared.counters.unsent);
         log::warn!(target: "packet", to = to.to_string().as_str(),
             error = error.to_string().as_str(); "not sent");
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -28,6 +28,7 @@
 mod cell;
 mod claim;
 mod code;
+mod control;
 mod daemon;
 mod driver;
 mod edge;
@@ -39,7 +40,6 @@
 mod follow;
 mod gateway;
 mod gateway_packets;
-mod gateway_peers;
 mod gateway_settings;
 mod guard;
 pub mod journal;
@@ -79,6 +79,7 @@
 pub use cell::{DRIFT, HEARTBEAT, LEASE, SILENCE};
 pub use claim::{Answer, Claim, Claims, KEY_LIFE};
 pub use code::Code;
+pub use control::{AskPeer, Control, Known, News, Ports, Question};
 pub use daemon::{Daemon, Error as DaemonError};
 /// Catalogue files.
 pub mod entries {
