Check a silent target before its flows are reset

And giving up needed a prompt answer of another target within 300 ms, which a VM of a large fleet never sees.

Ruled out: more repeats (a deadline holds three); shorter proof by passing packets (at 100 VMs a VM sees one in two seconds); status checks by request (they take a slot).

Change: packets raise a doubt, a connection to the target settles it, and a peer's answer shows whether this VM's own link is free (new code BL322: a peer that knows nothing fresh still answers). Targets whose address has gone to another are given up.

--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -88,10 +88,12 @@
     HistoryGone = 312, "platform forgot the changes since";
     /// The platform refuses calls beyond its rate.
     Throttled = 313, "platform refuses calls for now";
-    /// Another entry VM does not answer, or knows nothing fresh.
+    /// Another entry VM does not answer.
     NoPeer = 320, "peer not reached";
     /// Another entry VM has more to tell than its link should carry.
     TooMuch = 321, "peer has too much to tell";
+    /// Another entry VM answers, but knows nothing fresh itself.
+    NotFresh = 322, "peer knows nothing fresh";
 }
 
 impl Code {
--- a/burdocklever/src/control.rs
+++ b/burdocklever/src/control.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use wire::{Address, Body, Object, ObjectKey, Version, Vm, VmId};
+use wire::{Address, Body, DomainId, Object, ObjectKey, Version, Vm, VmId};
 
 use crate::book::{Book, Update};
 use crate::code::Code;
@@ -38,6 +38,9 @@
 pub(crate) const WAIT: Ms = Ms(800);
 /// Time that the trip to a peer and back may take, and its processor time.
 const TRIP: Ms = Ms(400);
+/// Peers of any failure domain that are asked at once whether this VM's link is
+/// free.
+const LINK_CHECKS: usize = 2;
 /// Bytes a second that a VM tells its peers, and as a burst: a tenth of the
 /// smallest link, 10 Mbit/s. Packets share the link; larger news is read from
 /// the store.
@@ -80,6 +83,8 @@
 
 /// What a VM knows, and how it got it.
 pub struct Known {
+    own: VmId,
+    domain: DomainId,
     book: Mutex<Book>,
     /// Counts changes of the book, for peers that wait for one.
     changes: watch::Sender<u64>,
@@ -129,6 +134,8 @@
     /// Starts to learn as VM `own`, from `seeds` first.
     pub fn spawn(own: Vm, seeds: &[Address], ports: Ports) -> Control {
         let known = Arc::new(Known {
+            own: own.member.vm,
+            domain: own.domain.clone(),
             book: Mutex::default(),
             changes: watch::Sender::new(0),
             direct: watch::Sender::new(false),
@@ -208,7 +215,7 @@
     ///
     /// # Errors
     ///
-    /// [`Code::NoPeer`] while nothing fresh is known, [`Code::TooMuch`] if the
+    /// [`Code::NotFresh`] while nothing fresh is known, [`Code::TooMuch`] if the
     /// answer is more than the link should carry.
     pub async fn answer(&self, question: &Question) -> Result<Vec<u8>> {
         let mut changed = self.changes.subscribe();
@@ -236,7 +243,10 @@
     fn update(&self, question: &Question) -> Result<Update> {
         self.with(|now, book| {
             if book.fresh_for(now, age_max) == Ms(0) {
-                return Err(no_peer("nothing fresh is known"));
+                return Err(Error {
+                    code: Code::NotFresh,
+                    detail: "ask another peer".into(),
+                });
             }
             Ok(book.update(now, &question.from))
         })
@@ -270,6 +280,47 @@
         }
     }
 
+    /// Whether some peer answers within `limit`, whatever it answers. Asks several
+    /// at once, chosen by chance: some may be dead.
+    pub async fn is_link_free(&self, limit: Ms) -> bool {
+        let ask = |address| (self.ask)(address, self.question(Ms(0)), limit);
+        let mut asked = JoinSet::new();
+        for peer in self.any_peers() {
+            asked.spawn(ask(peer));
+        }
+        let first = async {
+            while let Some(answer) = asked.join_next().await {
+                match answer {
+                    Ok(Ok(_)) => return true,
+                    Ok(Err(error)) if error.code != Code::NoPeer => return true,
+                    _ => {}
+                }
+            }
+            false
+        };
+        let limit = Duration::from_millis(limit.0);
+        tokio::time::timeout(limit, first).await.unwrap_or(false)
+    }
+
+    /// Addresses of other VMs, chosen by chance: one of the own failure domain,
+    /// which may be cut off from the others, and some of all.
+    fn any_peers(&self) -> Vec<Address> {
+        let book = self.book();
+        let vms = book.catalogue().vms().filter(|vm| vm.member.vm != self.own);
+        let all: Vec<&Vm> = vms.collect();
+        let near: Vec<&Vm> = all
+            .iter()
+            .copied()
+            .filter(|vm| vm.domain == self.domain)
+            .collect();
+        let pick = |list: &[&Vm]| {
+            let at = ((self.chance)() * list.len() as f64) as usize;
+            list.get(at).map(|vm| vm.peer)
+        };
+        let far = (0..LINK_CHECKS).filter_map(|_| pick(&all));
+        pick(&near).into_iter().chain(far).collect()
+    }
+
     fn learn_from_peer(&self, update: Update) {
         let fresh = self.with(|now, book| book.learn(now, update));
         self.adopt(&fresh);
--- a/burdocklever/src/exchange.rs
+++ b/burdocklever/src/exchange.rs
@@ -16,6 +16,12 @@
 use crate::platform::{Error, Result};
 use crate::time::Ms;
 
+/// How refusals travel.
+const REFUSALS: [(Code, StatusCode); 2] = [
+    (Code::TooMuch, StatusCode::PAYLOAD_TOO_LARGE),
+    (Code::NotFresh, StatusCode::SERVICE_UNAVAILABLE),
+];
+
 /// The peers' end of a gateway.
 pub(crate) fn app(known: Arc<Known>) -> Router {
     let answer = move |body: Bytes| {
@@ -35,9 +41,16 @@
     };
     match known.answer(&question).await {
         Ok(body) => body.into_response(),
-        Err(error) if error.code == Code::TooMuch => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
-        // The asker logs it, and asks another peer.
-        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Err(error) => {
+            let refusal = REFUSALS.iter().find(|(code, _)| *code == error.code);
+            match refusal {
+                Some((_, status)) => status.into_response(),
+                None => {
+                    log::error!(target: "peer", error = error.to_string().as_str(); "no answer made");
+                    StatusCode::INTERNAL_SERVER_ERROR.into_response()
+                }
+            }
+        }
     }
 }
 
@@ -45,8 +58,8 @@
 ///
 /// # Errors
 ///
-/// [`Code::NoPeer`] if it does not answer or knows nothing fresh,
-/// [`Code::TooMuch`] if it has more to tell than its link should carry.
+/// [`Code::NoPeer`] if it does not answer, [`Code::NotFresh`] if it knows nothing
+/// fresh, [`Code::TooMuch`] if it has more to tell than its link should carry.
 pub(crate) async fn ask(
     http: reqwest::Client,
     address: Address,
@@ -58,10 +71,11 @@
     let url = format!("http://{address}/catalogue");
     let request = http.post(url).timeout(timeout).body(body);
     let reply = request.send().await.map_err(no_peer)?;
-    if reply.status() == StatusCode::PAYLOAD_TOO_LARGE {
+    let refusal = REFUSALS.iter().find(|(_, s)| *s == reply.status());
+    if let Some((code, status)) = refusal {
         return Err(Error {
-            code: Code::TooMuch,
-            detail: "read it from the store".into(),
+            code: *code,
+            detail: status.to_string().into(),
         });
     }
     let reply = reply.error_for_status().map_err(no_peer)?;
--- a/burdocklever/src/explain.rs
+++ b/burdocklever/src/explain.rs
@@ -172,9 +172,13 @@
                 .iter()
                 .rev()
                 .find(|l| l.event.starts_with("target given up") && l.unix_ms <= line.unix_ms + 1);
-            match given_up.and_then(|l| Some((l.number("host")?, l.number("silent_ms")?))) {
-                Some((host, silent)) => {
-                    format!("target {host} died: it had shown no sign of life for {silent} ms")
+            let parts = |l: &&Line| {
+                let host = l.number("host")?;
+                Some((host, l.text("finding")?.to_owned(), l.number("silent_ms")?))
+            };
+            match given_up.and_then(parts) {
+                Some((host, finding, silent)) => {
+                    format!("target {host} died: {finding}, no sign of life for {silent} ms")
                 }
                 None => format!("{vm}: the target's failure domain is out of service"),
             }
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -10,6 +10,7 @@
 use crate::code::Code;
 use crate::gateway::{count, Shared};
 use crate::segment::{Segment, Verdict};
+use crate::steer::GivenUp;
 
 /// Largest packet in bytes: 32 of header and 1200 of data, with room to see
 /// that one is too long.
@@ -51,21 +52,19 @@
     let mut steering = shared.steering();
     let verdict = steering.packet(now, segment);
     let opening = steering.take_opening();
-    let given_up = steering.take_given_up();
     let answer = steering.take_answer();
-    let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
+    let doubt = steering.take_doubt();
+    let ended = steering.has_ended();
     drop(steering);
+    if let Some(doubt) = doubt {
+        // With so many waiting, the target's next repeat asks again.
+        let _ = shared.doubts.try_send(doubt);
+    }
     if let Some(took) = answer {
         shared.metrics.answered(took);
     }
-    if let Some(g) = given_up {
-        log::warn!(target: "target", host = g.host.0, flow = flow_id(segment).as_str(),
-            silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
-            repeats = g.repeats, asked_ms = g.asked.0, listed = g.listed, flows = g.flows;
-            "target given up, its quiet flows are reset");
-    }
-    for segment in &ended {
-        reset(shared, segment, Code::FlowEnded, out);
+    if ended {
+        end_flows(shared, out);
     }
     out.clear();
     let to = match verdict {
@@ -93,6 +92,22 @@
     }
 }
 
+/// Tells of targets that were given up, and resets their flows.
+pub(crate) fn end_flows(shared: &Shared, out: &mut Vec<u8>) {
+    let mut steering = shared.steering();
+    let given_up: Vec<GivenUp> = std::iter::from_fn(|| steering.take_given_up()).collect();
+    let ended: Vec<Segment> = std::iter::from_fn(|| steering.pull_reset()).collect();
+    drop(steering);
+    for g in given_up {
+        log::warn!(target: "target", host = g.host.0, finding = g.finding.text(),
+            silent_ms = g.silent.map_or(0, |s| s.0), heard = g.silent.is_some(),
+            listed = g.listed, flows = g.flows; "target given up, its flows are reset");
+    }
+    for segment in &ended {
+        reset(shared, segment, Code::FlowEnded, out);
+    }
+}
+
 fn reset(shared: &Shared, segment: &Segment, code: Code, out: &mut Vec<u8>) {
     count(&shared.counters.refused);
     log_end(segment, code, "flow reset");
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -88,7 +88,7 @@
 
 pub use event::{Action, Counts, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
 pub use explain::{explain, Explanation};
-pub use gateway::{Codec, Gateway, OpenStore, Signals};
+pub use gateway::{Adapter, Check, CheckTarget, Codec, Gateway, OpenStore, Signals};
 pub use gateway_settings::GatewaySettings;
 pub use key::{Issued, Key};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
@@ -102,7 +102,7 @@
 pub use settings::Settings;
 pub use source::Error as SourceError;
 pub use status::Status;
-pub use steer::{Bounds, GivenUp, Opening, Steering};
+pub use steer::{Bounds, Doubt, Finding, GivenUp, Opening, Steering};
 pub use store::{Ask, Call, Entry, Feed, Page, Store};
 pub use time::{Ms, Time};
 pub use token::Token;
--- a/burdocklever/src/signal.rs
+++ b/burdocklever/src/signal.rs
@@ -16,8 +16,11 @@
 /// Pause between flows that test a suspect target. Nine VMs that test one
 /// target together stay below the five flows a second that a cold one bears.
 const PROBE: Ms = Ms(4000);
-/// Pause between packets that test a target that was given up.
-const TEST: Ms = Ms(900);
+/// Pause between two checks of one target.
+const CHECK_PAUSE: Ms = Ms(900);
+/// Time for which a check holds that found a target unreachable. A caller's second
+/// repeat comes 400 ms after the first, which asks for the check.
+const UNREACHABLE: Ms = Ms(1000);
 /// Weight of a new sample in the mean answer time, as one part in so many.
 const SMOOTHING: u32 = 8;
 
@@ -38,8 +41,14 @@
     repeated: Option<Time>,
     /// Last sign of life.
     heard: Option<Time>,
-    /// Whether it was given up, and when a packet last tested it.
-    given_up: Option<Time>,
+    /// Last check that began.
+    checked: Option<Time>,
+    /// Last check that found it alive.
+    vouched: Option<Time>,
+    /// Last check that could not reach it.
+    unreachable: Option<Time>,
+    /// Whether it is believed dead.
+    given_up: bool,
 }
 
 impl Signals {
@@ -54,31 +63,51 @@
         self.heard = Some(now);
         self.asked = None;
         self.repeated = None;
-        self.given_up = None;
+        self.unreachable = None;
+        self.given_up = false;
     }
 
     /// Notes that the target is believed dead.
-    pub(crate) fn give_up(&mut self, now: Time) {
-        self.given_up.get_or_insert(now);
+    pub(crate) fn give_up(&mut self) {
+        self.given_up = true;
     }
 
     /// Whether the target is believed dead.
     pub(crate) fn is_given_up(&self) -> bool {
-        self.given_up.is_some()
+        self.given_up
     }
 
-    /// Whether a packet may test a target that was given up.
-    pub(crate) fn take_test(&mut self, now: Time) -> bool {
-        let due = self.given_up.is_some_and(|at| now.since(at) >= TEST);
+    /// Whether a check may begin now. If so, it counts as begun.
+    pub(crate) fn take_check(&mut self, now: Time) -> bool {
+        let due = self.checked.is_none_or(|at| now.since(at) >= CHECK_PAUSE);
         if due {
-            self.given_up = Some(now);
+            self.checked = Some(now);
         }
         due
     }
 
+    /// Notes a check that found the target alive. It may still be too busy to
+    /// answer, so it stays suspect.
+    pub(crate) fn vouch(&mut self, now: Time) {
+        self.vouched = Some(now);
+        self.unreachable = None;
+        self.given_up = false;
+    }
+
+    /// Notes a check that could not reach the target.
+    pub(crate) fn miss(&mut self, now: Time) {
+        self.unreachable = Some(now);
+    }
+
+    /// Whether a check could not reach the target lately.
+    pub(crate) fn is_unreachable(&self, now: Time) -> bool {
+        self.unreachable
+            .is_some_and(|at| now.since(at) <= UNREACHABLE)
+    }
+
     /// Whether there was no sign of life after `time`.
     pub(crate) fn is_silent_since(&self, time: Time) -> bool {
-        self.heard.is_none_or(|at| at <= time)
+        self.heard.max(self.vouched).is_none_or(|at| at <= time)
     }
 
     /// Notes how long the target took for the first byte of an answer.
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -7,7 +7,7 @@
 use std::collections::hash_map::Entry;
 
 use rustc_hash::FxHashMap;
-use wire::{DomainId, HostId, Object};
+use wire::{Address, DomainId, HostId, Object};
 
 use crate::code::Code;
 use crate::msg::FlowKey;
@@ -16,7 +16,9 @@
 use crate::segment::{Segment, Stage, Verdict};
 use crate::table::{Table, Target};
 use crate::time::{Ms, Time};
-use crate::trail::{adopt, hear, last_segment, note_data, release, Flow, NOWHERE, TRIES};
+use crate::trail::{
+    adopt, hear, is_dead, is_waiting, last_segment, note_data, release, Flow, NOWHERE, TRIES,
+};
 
 /// Flows remembered at most; 358 bytes each as measured, so 36 of the 64 MB that
 /// a VM may use. At the target size a VM sees 13,500.
@@ -29,11 +31,6 @@
 const TARGET_KEPT: Ms = Ms(120_000);
 /// Age of the catalogue up to which "no such service" is certain.
 const FRESH: Ms = Ms(2000);
-/// Answer time that shows that this VM's own links are free. A VM whose packets
-/// queue at its link for longer would take targets that answer for dead ones.
-const PROMPT: Ms = Ms(150);
-/// Time within which some target must have answered promptly.
-const PROMPT_SEEN: Ms = Ms(300);
 
 /// Times that the deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,20 +58,55 @@
     pub copy: u32,
 }
 
+/// A target whose life is in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Doubt {
+    /// The target.
+    pub host: HostId,
+    /// Where it listens.
+    pub address: Address,
+}
+
+/// What a check of a target in doubt found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// It lives, though it may be too busy to answer.
+    Listens,
+    /// Its process is gone.
+    Refuses,
+    /// Another target has its address.
+    Replaced,
+    /// It cannot be reached, while others can.
+    Unreachable,
+    /// Nothing can be said: this VM reaches nobody.
+    Unknown,
+}
+
+impl Finding {
+    /// The finding in words, for the log.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Finding::Listens => "takes connections",
+            Finding::Refuses => "refuses connections",
+            Finding::Replaced => "another target has its address",
+            Finding::Unreachable => "cannot be reached",
+            Finding::Unknown => "this VM reaches nobody",
+        }
+    }
+}
+
 /// A target that was given up, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GivenUp {
     /// The target.
     pub host: HostId,
+    /// What its check found.
+    pub finding: Finding,
     /// Time since its last sign of life; none if there was none.
     pub silent: Option<Ms>,
-    /// Repeats of the flow that showed it.
-    pub repeats: u8,
-    /// Time since the request that the flow repeats.
-    pub asked: Ms,
     /// Whether the target is still on the list.
     pub listed: bool,
-    /// Quiet flows that are reset.
+    /// Flows that are reset.
     pub flows: usize,
 }
 
@@ -88,13 +120,12 @@
     confirmed: Option<Time>,
     /// Last time that no packet waited to be read.
     drained: Time,
-    /// Last prompt answer of any target.
-    prompt: Option<Time>,
     table: Table,
     flows: FxHashMap<FlowKey, Flow>,
     opening: Option<Opening>,
     resets: Vec<Segment>,
-    given_up: Option<GivenUp>,
+    given_up: Vec<GivenUp>,
+    doubts: Vec<Doubt>,
     answer: Option<Ms>,
 }
 
@@ -107,12 +138,12 @@
             now: Time(0),
             confirmed: None,
             drained: Time(0),
-            prompt: None,
             table: Table::new(home),
             flows: FxHashMap::default(),
             opening: None,
             resets: Vec::new(),
-            given_up: None,
+            given_up: Vec::new(),
+            doubts: Vec::new(),
             answer: None,
         }
     }
@@ -165,9 +196,42 @@
         self.answer.take()
     }
 
-    /// The target that the last packet showed to be dead.
+    /// A target that was shown to be dead.
     pub fn take_given_up(&mut self) -> Option<GivenUp> {
-        self.given_up.take()
+        self.given_up.pop()
+    }
+
+    /// A target whose life is in doubt. A check, and then [`Steering::judge`],
+    /// tells what becomes of its flows.
+    pub fn take_doubt(&mut self) -> Option<Doubt> {
+        self.doubts.pop()
+    }
+
+    /// Takes in what a check of a target found.
+    pub fn judge(&mut self, now: Time, host: HostId, finding: Finding) {
+        self.now = self.now.max(now);
+        let Some(index) = self.table.hosts.get(&host).copied() else {
+            return;
+        };
+        let target = &mut self.table.targets[index];
+        match finding {
+            Finding::Listens => target.signals.vouch(now),
+            Finding::Refuses | Finding::Replaced => self.give_up(index, finding, None),
+            Finding::Unreachable => {
+                target.signals.miss(now);
+                let (signals, listed) = (&target.signals, target.left.is_none());
+                let shows = |f: &Flow| f.target == index && is_dead(f, signals, listed);
+                if self.flows.values().any(shows) {
+                    self.give_up(index, finding, None);
+                }
+            }
+            Finding::Unknown => {}
+        }
+    }
+
+    /// Whether [`Steering::take_given_up`] or [`Steering::pull_reset`] has more.
+    pub fn has_ended(&self) -> bool {
+        !self.given_up.is_empty() || !self.resets.is_empty()
     }
 
     /// A flow to reset although its caller sent nothing: the last packet that
@@ -309,20 +373,11 @@
             return Verdict::Drop(Code::FlowEnded);
         }
         self.watch(segment, index);
-        let once = self
-            .table
-            .routes
-            .get(&segment.service)
-            .is_some_and(|r| r.once);
-        let target = &mut self.table.targets[index];
-        if segment.len > 0 && target.signals.is_given_up() {
-            let waits = self
-                .flows
-                .get(&segment.key())
-                .is_some_and(|f| f.repeats > 0);
-            let kept = (once && waits) || target.signals.take_test(self.now);
-            if !kept {
-                self.forget(segment.key());
+        if segment.len > 0 && self.table.targets[index].signals.is_given_up() {
+            let key = segment.key();
+            let waits = self.flows.get(&key).is_some_and(|f| f.repeats > 0);
+            if !(waits && self.is_once(segment.service)) {
+                self.forget(key);
                 return Verdict::Reset(Code::FlowEnded);
             }
         }
@@ -350,54 +405,65 @@
         flow.seen = now;
         let took = hear(now, segment, flow, &mut target.signals);
         self.answer = took;
-        if took.is_some_and(|took| took <= PROMPT) {
-            self.prompt = Some(now);
-        }
-        let mut dead = false;
+        let mut repeats = false;
         if segment.len > 0 && known {
-            dead = note_data(now, self.drained, segment, flow, &mut target.signals);
+            repeats = note_data(now, self.drained, segment, flow, &mut target.signals);
         }
         if segment.mark == Stage::Close && flow.stage != Stage::Close {
             release(&mut target.signals, flow);
             flow.stage = Stage::Close;
             flow.asked = None;
         }
-        let prompt = self.prompt.is_some_and(|at| now.since(at) <= PROMPT_SEEN);
-        if dead && prompt {
-            self.give_up(index, key);
+        let listed = target.left.is_none();
+        let lost = !listed || target.signals.is_given_up();
+        let strange = repeats || (segment.len > 0 && lost);
+        if !strange || !is_waiting(flow, &target.signals) {
+            return;
+        }
+        let dead = target.signals.is_unreachable(now) && is_dead(flow, &target.signals, listed);
+        if dead && !target.signals.is_given_up() {
+            self.give_up(index, Finding::Unreachable, Some(key));
+        } else if target.signals.take_check(now) {
+            let (host, address) = (target.host, target.address);
+            if self.table.is_replaced(index) {
+                self.give_up(index, Finding::Replaced, Some(key));
+            } else {
+                self.doubts.push(Doubt { host, address });
+            }
         }
     }
 
+    /// Whether requests to a service's address may not be repeated.
+    fn is_once(&self, service: Address) -> bool {
+        self.table.routes.get(&service).is_some_and(|r| r.once)
+    }
+
     /// Believes a target dead and ends its flows, so that callers need not wait
     /// for their deadlines to find out. Requests in progress that may not be
-    /// repeated are left alone: an answer may still come.
-    fn give_up(&mut self, index: usize, cause: FlowKey) {
+    /// repeated are left alone while an answer may still come. `spared` is the
+    /// flow whose packet is being decided on.
+    fn give_up(&mut self, index: usize, finding: Finding, spared: Option<FlowKey>) {
         let target = &mut self.table.targets[index];
         if target.signals.is_given_up() {
             return;
         }
-        target.signals.give_up(self.now);
+        target.signals.give_up();
         let token = target.token;
-        let shown = self.flows.get(&cause);
         let given_up = GivenUp {
             host: target.host,
+            finding,
             silent: target.signals.silence(self.now),
-            repeats: shown.map_or(0, |f| f.repeats),
-            asked: Ms(shown
-                .and_then(|f| f.asked)
-                .map_or(0, |at| self.now.since(at).0)),
             listed: target.left.is_none(),
             flows: 0,
         };
-        let routes = &self.table.routes;
         let ends = |(key, flow): &(&FlowKey, &Flow)| {
-            let once = routes.get(&flow.service).is_some_and(|r| r.once);
             let open = flow.target == index && flow.stage == Stage::Within;
-            open && **key != cause && !(once && flow.asked.is_some())
+            let hopes = finding == Finding::Unreachable && flow.asked.is_some();
+            open && Some(**key) != spared && !(hopes && self.is_once(flow.service))
         };
         let mut ended: Vec<FlowKey> = self.flows.iter().filter(ends).map(|(k, _)| *k).collect();
         ended.sort_unstable();
-        self.given_up = Some(GivenUp {
+        self.given_up.push(GivenUp {
             flows: ended.len(),
             ..given_up
         });
--- a/burdocklever/src/table.rs
+++ b/burdocklever/src/table.rs
@@ -277,6 +277,13 @@
             && self.domains[target.domain].out.is_none()
     }
 
+    /// Whether another target has started since at a target's address.
+    pub(crate) fn is_replaced(&self, index: usize) -> bool {
+        let old = &self.targets[index];
+        let follows = |t: &Target| t.address == old.address && t.life > old.life;
+        self.targets.iter().any(follows)
+    }
+
     /// The target that a later packet names. Tokens are looked up among the
     /// route's services first. A flow may be older than what this VM knows of
     /// the route, so a token that names one target of all services counts too.
--- a/burdocklever/src/trail.rs
+++ b/burdocklever/src/trail.rs
@@ -15,10 +15,8 @@
 const ACKNOWLEDGE: Ms = Ms(100);
 /// Targets that the copies of one opening packet may go to.
 pub(crate) const TRIES: usize = 3;
-/// Repeats that a silent target's flow needs to be given up. Callers repeat after
-/// 200 and 600 ms. A cold target with all slots and its queue of eight full takes
-/// some 300 ms for an answer and acknowledges nothing before, so one repeat, even
-/// of several flows, shows no death.
+/// Repeats of a flow, 200 and 600 ms after its packet, that with a target that
+/// cannot be reached show its death: either alone may be a lost packet.
 const REPEATS: u8 = 2;
 
 /// No target.
@@ -96,7 +94,7 @@
     Some(took)
 }
 
-/// Takes in a packet with data. Returns whether it shows that the target died.
+/// Takes in a packet with data. Returns whether the caller repeats it.
 pub(crate) fn note_data(
     now: Time,
     drained: Time,
@@ -120,8 +118,18 @@
     flow.data = now;
     flow.repeats = flow.repeats.saturating_add(1);
     signals.repeated(now);
-    let asked = flow.asked.unwrap_or(now);
-    flow.asked.is_some() && flow.repeats >= REPEATS && signals.is_silent_since(asked)
+    true
+}
+
+/// Whether a flow's request waits at a target that shows no life since.
+pub(crate) fn is_waiting(flow: &Flow, signals: &Signals) -> bool {
+    flow.asked.is_some_and(|at| signals.is_silent_since(at))
+}
+
+/// Whether a flow shows that its target died, if it cannot be reached. One that
+/// is not on the list any more needs no more signs.
+pub(crate) fn is_dead(flow: &Flow, signals: &Signals, listed: bool) -> bool {
+    is_waiting(flow, signals) && (!listed || flow.repeats >= REPEATS)
 }
 
 /// The last packet that a flow's caller sent, as far as it is remembered.
