A model of the fleet's control; what its storms broke is mended

The model runs the real Control of up to hundreds of VMs on a simulated store and network, in simulated time, under storms of deaths and cuts, with an oracle: no VM goes back a version, none in touch is late. It found, each within seconds: - a VM that holds a removal back after an outage told peers that it knew everything; if it died, or once the removal was due, no peer ever heard of it. It now claims only what it has told, and answers carry a cursor, so that this costs no busy polls - a reader of the store that is cut off made its peers late: it asks another one now - each new time of grace prolonged those that ran: each removal has its own end now - a VM whose peer had outlived the outage gave targets their time twice - a peer that answers 'nothing fresh' was passed over for 5 s, so after a total loss every VM asked every other, then read the store as if it were a reader itself; the peer is asked again, and some VMs by chance join in at the store - calls to a store that comes back could hang for 4 s: 1 s now, and a store that was lost is asked for an answer, not for a wait

Ruled out: telling a removal with a later version (it could hide a target that came back); ending the grace when the VM was known to be fresh (a short outage is too). The oracle allows removals of targets 4.5 s more after disruptions; a trace showed the case: a reader holds one back and is cut off again. No packet reaches such a target.

Also: peers' questions read an index of changes instead of the whole catalogue.

Tests: model/tests/relay.rs (and two broken variants that it must find), book.rs. The book tests fail on the code before.

--- a/burdocklever/src/book.rs
+++ b/burdocklever/src/book.rs
@@ -10,12 +10,13 @@
 use wire::{Body, Object, ObjectKey, Version};
 
 use crate::catalogue::Catalogue;
+use crate::relay::age_max;
 use crate::store::Feed;
 use crate::time::{Ms, Time};
 
 /// Time that targets have to write their entries again once the platform is
 /// back. The platform's owners promise two seconds.
-pub(crate) const GRACE: Ms = Ms(2200);
+const GRACE: Ms = Ms(2200);
 /// Removed objects that are remembered, so that peers learn of the removal.
 /// At 17,000 changes a day this is several hours.
 const REMOVED_MAX: usize = 4096;
@@ -45,7 +46,8 @@
     floor: Version,
     /// Until when objects that are missing after an outage are kept.
     kept: Time,
-    missing: BTreeMap<ObjectKey, Version>,
+    /// Those objects: the version of the removal, and when it takes effect.
+    missing: BTreeMap<ObjectKey, (Version, Time)>,
 }
 
 /// Everything known, feed by feed.
@@ -53,6 +55,8 @@
 pub struct Book {
     catalogue: Catalogue,
     feeds: [Progress; Feed::COUNT],
+    /// Each feed's objects in the order of their last change, for peers' questions.
+    order: [BTreeSet<(Version, ObjectKey)>; Feed::COUNT],
 }
 
 impl Book {
@@ -67,9 +71,15 @@
         progress.confirmed.map(|_| progress.through)
     }
 
-    /// Revision up to which each feed is complete.
+    /// Revision up to which each feed is complete, as peers are told and asked:
+    /// below any removal that is held back here.
     pub fn all_through(&self) -> [Version; Feed::COUNT] {
-        std::array::from_fn(|i| self.feeds[i].through)
+        let whole = |progress: &Progress| {
+            let held = progress.missing.values().map(|(version, _)| version).min();
+            let below = held.map(|v| Version(v.0.saturating_sub(1)));
+            below.map_or(progress.through, |v| v.min(progress.through))
+        };
+        std::array::from_fn(|i| whole(&self.feeds[i]))
     }
 
     /// When a feed was last known to be up to date.
@@ -154,9 +164,8 @@
         let mut fresh = Vec::new();
         for object in list {
             if object.body == Body::Removed {
-                fresh.extend(self.remove(now, feed, object.key, object.version));
+                fresh.extend(self.remove(now, feed, object.key, object.version, through));
             } else {
-                self.feeds[feed as usize].missing.remove(&object.key);
                 fresh.extend(self.merge(object));
             }
         }
@@ -171,18 +180,19 @@
         progress.confirmed = progress.confirmed.max(Some(now));
     }
 
+    /// When the next removal that is held back takes effect.
+    pub fn next_due(&self) -> Option<Time> {
+        let held = self.feeds.iter().flat_map(|f| f.missing.values());
+        held.map(|(_, until)| *until).min()
+    }
+
     /// Removals whose time of grace has ended.
     pub fn due(&mut self, now: Time, feed: Feed) -> Vec<Object> {
-        let progress = &mut self.feeds[feed as usize];
-        if now < progress.kept {
-            return Vec::new();
-        }
-        let missing = std::mem::take(&mut progress.missing);
-        let removals = missing
-            .into_iter()
-            .map(|(key, version)| removed(key, version));
-        let removals: Vec<Object> = removals.collect();
-        removals.into_iter().filter_map(|o| self.merge(o)).collect()
+        let missing = &mut self.feeds[feed as usize].missing;
+        let due = missing.iter().filter(|(_, (_, until))| *until <= now);
+        let due: Vec<Object> = due.map(|(key, (v, _))| removed(key.clone(), *v)).collect();
+        missing.retain(|_, (_, until)| *until > now);
+        due.into_iter().filter_map(|o| self.merge(o)).collect()
     }
 
     fn remove(
@@ -191,18 +201,20 @@
         feed: Feed,
         key: ObjectKey,
         version: Version,
+        through: Version,
     ) -> Option<Object> {
         // An unknown object's removal is kept too: some peer may know the object.
         let known = self.catalogue.get(&key).map(|o| o.version);
         let version = match known {
             Some(known) if known > version => return None,
-            // The store tells the revision of the object's last change.
-            Some(known) if known == version => Version(known.0 + 1),
+            // The store told the revision of the object's last change.
+            Some(known) if known == version => through.max(Version(known.0 + 1)),
             _ => version,
         };
         let progress = &mut self.feeds[feed as usize];
         if feed == Feed::Hosts && known.is_some() && now < progress.kept {
-            progress.missing.insert(key, version);
+            let until = progress.kept;
+            progress.missing.entry(key).or_insert((version, until));
             return None;
         }
         self.merge(removed(key, version))
@@ -214,20 +226,42 @@
     fn merge(&mut self, object: Object) -> Option<Object> {
         let known = self.catalogue.get(&object.key);
         let same = known.is_some_and(|o| o.body == object.body);
+        let before = self.catalogue.version(&object.key);
         let newer = self.catalogue.merge(object.clone());
+        if let Some(feed) = Feed::of(&object.key).filter(|_| newer) {
+            self.feeds[feed as usize].missing.remove(&object.key);
+            let order = &mut self.order[feed as usize];
+            order.remove(&(before, object.key.clone()));
+            order.insert((object.version, object.key.clone()));
+        }
         (newer && !same).then_some(object)
     }
 
+    /// Whether targets have time to write their entries again.
+    pub fn is_in_grace(&self, now: Time) -> bool {
+        self.feeds.iter().any(|progress| now < progress.kept)
+    }
+
+    /// Keys of what a peer lacks that knows each feed up to `from`.
+    fn lacked<'a>(
+        &'a self,
+        from: &'a [Version; Feed::COUNT],
+    ) -> impl Iterator<Item = &'a ObjectKey> {
+        (0..Feed::COUNT).flat_map(|i| {
+            let all = from[i] < self.feeds[i].floor;
+            let after = if all { Version(0) } else { from[i] };
+            let first = (Version(after.0 + 1), ObjectKey::new("", ""));
+            self.order[i].range(first..).map(|(_, key)| key)
+        })
+    }
+
     /// What a peer lacks that knows each feed up to `from`.
     pub fn update(&self, now: Time, from: &[Version; Feed::COUNT]) -> Update {
-        let whole: [bool; Feed::COUNT] = std::array::from_fn(|i| from[i] < self.feeds[i].floor);
-        let lacks = |o: &&Object| {
-            let feed = Feed::of(&o.key).map(|f| f as usize);
-            feed.is_some_and(|i| whole[i] || o.version > from[i])
-        };
+        let lacked: BTreeSet<&ObjectKey> = self.lacked(from).collect();
+        let objects = lacked.iter().filter_map(|key| self.catalogue.entry(key));
         Update {
-            objects: self.catalogue.objects().filter(lacks).cloned().collect(),
-            whole,
+            objects: objects.cloned().collect(),
+            whole: std::array::from_fn(|i| from[i] < self.feeds[i].floor),
             through: self.all_through(),
             age: std::array::from_fn(|i| self.feeds[i].confirmed.map(|at| now.since(at))),
         }
@@ -261,14 +295,18 @@
         for feed in Feed::ALL {
             let i = feed as usize;
             let progress = &mut self.feeds[i];
+            // What knows less than this VM says nothing of how fresh that is.
+            let level = update.through[i] >= progress.through;
+            if let Some(age) = update.age[i].filter(|_| level) {
+                let at = Time(now.0.saturating_sub(age.0));
+                progress.confirmed = progress.confirmed.max(Some(at));
+                // The peer has read the store since, and gave targets their time.
+                progress.away &= age >= age_max(Feed::ALL[i]);
+            }
             progress.through = progress.through.max(update.through[i]);
             if update.whole[i] {
                 progress.floor = progress.floor.max(update.through[i]);
             }
-            if let Some(age) = update.age[i] {
-                let at = Time(now.0.saturating_sub(age.0));
-                progress.confirmed = progress.confirmed.max(Some(at));
-            }
         }
         fresh
     }
@@ -276,8 +314,12 @@
     /// Forgets the oldest removals beyond those that are kept.
     pub fn prune(&mut self) {
         let floor = self.catalogue.prune_removed(REMOVED_MAX);
-        for progress in &mut self.feeds {
+        if floor == Version(0) {
+            return;
+        }
+        for (progress, order) in self.feeds.iter_mut().zip(&mut self.order) {
             progress.floor = progress.floor.max(floor);
+            order.retain(|(_, key)| self.catalogue.entry(key).is_some());
         }
     }
 }
--- a/burdocklever/src/catalogue.rs
+++ b/burdocklever/src/catalogue.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default, Clone)]
 pub struct Catalogue {
     objects: BTreeMap<ObjectKey, Object>,
+    /// Objects that are removed.
+    removed: usize,
     through: Version,
     services: BTreeMap<ServiceId, Service>,
     addresses: HashMap<Address, ServiceId>,
@@ -54,7 +56,9 @@
         }
         self.unindex(&object.key);
         self.index(&object);
-        self.objects.insert(object.key.clone(), object);
+        self.removed += usize::from(object.body == Body::Removed);
+        let old = self.objects.insert(object.key.clone(), object);
+        self.removed -= usize::from(old.is_some_and(|o| o.body == Body::Removed));
         true
     }
 
@@ -75,15 +79,16 @@
     /// Forgets the oldest removals beyond `max`. Returns the revision up to
     /// which some may have been forgotten.
     pub(crate) fn prune_removed(&mut self, max: usize) -> Version {
-        let removed = self.objects.values().filter(|o| o.body == Body::Removed);
-        let mut versions: Vec<Version> = removed.map(|o| o.version).collect();
-        if versions.len() <= max {
+        if self.removed <= max {
             return Version(0);
         }
+        let removed = self.objects.values().filter(|o| o.body == Body::Removed);
+        let mut versions: Vec<Version> = removed.map(|o| o.version).collect();
         versions.sort_unstable();
         let floor = versions[versions.len() - max - 1];
         self.objects
             .retain(|_, o| o.body != Body::Removed || o.version > floor);
+        self.removed = versions.iter().filter(|v| **v > floor).count();
         floor
     }
 
@@ -168,6 +173,11 @@
         self.objects.get(key).filter(|o| o.body != Body::Removed)
     }
 
+    /// The object with this key, removed or not.
+    pub(crate) fn entry(&self, key: &ObjectKey) -> Option<&Object> {
+        self.objects.get(key)
+    }
+
     /// Version of the object with this key; zero if unknown.
     pub fn version(&self, key: &ObjectKey) -> Version {
         self.objects.get(key).map_or(Version(0), |o| o.version)
--- a/burdocklever/src/control.rs
+++ b/burdocklever/src/control.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
-use wire::{Address, Body, DomainId, Object, ObjectKey, Version, Vm, VmId};
+use wire::{Address, Body, DomainId, Incarnation, Object, ObjectKey, Version, Vm, VmId};
 
 use crate::book::{Book, Update};
 use crate::code::Code;
@@ -31,8 +31,17 @@
 const LOOKS: u32 = 6;
 /// Time that a VM takes to read from the store what a peer would not tell.
 const CATCH_UP: Duration = Duration::from_millis(500);
+/// Pause between questions to a VM that stands in for the store: a part of the
+/// 3 s in which changes must be in force.
+const SUBSTITUTE_PAUSE: Duration = Duration::from_millis(300);
 /// Pause before a peer is asked again after one failed.
 const PEER_RETRY: Ms = Ms(100);
+const PEER_RETRY_MIN: Ms = Ms(10);
+/// Pause before a peer is asked again that knows nothing fresh itself.
+const FRESH_RETRY: Duration = Duration::from_millis(200);
+/// VMs that join in, at each such pause, when those that read the store cannot
+/// reach it: enough that one of them soon can, few enough for the store's rate.
+const JOINERS: f64 = 64.0;
 /// Longest time that a peer may be asked to wait. With it and the trip there,
 /// what the asker knows is no older than `relay::age_max` while all is well.
 pub(crate) const WAIT: Ms = Ms(800);
@@ -53,10 +62,29 @@
     pub from: [Version; Feed::COUNT],
     /// Time that it is willing to wait for news.
     pub wait: Ms,
+    /// Cursor of the last answer that the asker got from this VM, if any.
+    pub cursor: Option<Cursor>,
+}
+
+/// Names what a VM had learned when it answered. It tells an asker that has heard
+/// all of it apart from one that lacks something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    life: Incarnation,
+    changes: u64,
+}
+
+/// What one VM tells another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Reply {
+    /// What the asker lacks.
+    pub update: Update,
+    /// To be given back with the next question.
+    pub cursor: Cursor,
 }
 
 /// Asks the peer at an address, for so long at most.
-pub type AskPeer = dyn Fn(Address, Question, Ms) -> Call<Update> + Send + Sync;
+pub type AskPeer = dyn Fn(Address, Question, Ms) -> Call<Reply> + Send + Sync;
 
 /// What is to be told of what a VM learns.
 #[derive(Debug)]
@@ -84,12 +112,15 @@
 /// What a VM knows, and how it got it.
 pub struct Known {
     own: VmId,
+    life: Incarnation,
     domain: DomainId,
     book: Mutex<Book>,
     /// Counts changes of the book, for peers that wait for one.
     changes: watch::Sender<u64>,
     /// Whether this VM reads the store itself.
     direct: watch::Sender<bool>,
+    /// Wakes whoever ends the targets' time to come back.
+    grace: Notify,
     /// Feeds whose store does not answer.
     lost: Mutex<BTreeSet<Feed>>,
     /// Bytes that may be told peers now.
@@ -135,10 +166,12 @@
     pub fn spawn(own: Vm, seeds: &[Address], ports: Ports) -> Control {
         let known = Arc::new(Known {
             own: own.member.vm,
+            life: own.member.life,
             domain: own.domain.clone(),
             book: Mutex::default(),
             changes: watch::Sender::new(0),
             direct: watch::Sender::new(false),
+            grace: Notify::new(),
             lost: Mutex::default(),
             allowance: Mutex::new(Allowance {
                 bytes: BYTES_RATE,
@@ -173,6 +206,7 @@
         self.tasks.spawn(asking);
         let keeping = keep_entry(self.known.clone(), store.clone(), self.own.clone());
         self.tasks.spawn(keeping);
+        self.tasks.spawn(end_graces(self.known.clone()));
         let looking = look_after_next(self.known.clone(), store, self.own.member.vm);
         self.tasks.spawn(looking);
     }
@@ -220,14 +254,20 @@
     pub async fn answer(&self, question: &Question) -> Result<Vec<u8>> {
         let mut changed = self.changes.subscribe();
         changed.borrow_and_update();
-        let mut update = self.update(question)?;
-        if update.objects.is_empty() {
+        let cursor = || Cursor {
+            life: self.life,
+            changes: *self.changes.borrow(),
+        };
+        if question.cursor == Some(cursor()) {
             let wait = Duration::from_millis(question.wait.0.min(WAIT.0));
             // A timeout is an answer too: nothing has changed.
             let _ = tokio::time::timeout(wait, changed.changed()).await;
-            update = self.update(question)?;
         }
-        let body = rmp_serde::to_vec(&update).map_err(no_peer)?;
+        let reply = Reply {
+            cursor: cursor(),
+            update: self.update(question)?,
+        };
+        let body = rmp_serde::to_vec(&reply).map_err(no_peer)?;
         let now = (self.clock)();
         let mut allowance = self.allowance.lock().unwrap_or_else(|e| e.into_inner());
         if !allowance.take(now, body.len() as u64) {
@@ -254,7 +294,12 @@
 
     /// Takes in what changed, and wakes peers that wait for it.
     pub(crate) fn adopt(&self, objects: &[Object]) {
-        (self.tell)(News::Changed(objects, &self.book()));
+        let book = self.book();
+        (self.tell)(News::Changed(objects, &book));
+        if book.next_due().is_some() {
+            self.grace.notify_one();
+        }
+        drop(book);
         log_changes(objects);
         if !objects.is_empty() {
             self.changes.send_modify(|n| *n += 1);
@@ -283,7 +328,7 @@
     /// Whether some peer answers within `limit`, whatever it answers. Asks several
     /// at once, chosen by chance: some may be dead.
     pub async fn is_link_free(&self, limit: Ms) -> bool {
-        let ask = |address| (self.ask)(address, self.question(Ms(0)), limit);
+        let ask = |address| (self.ask)(address, self.question(Ms(0), None), limit);
         let mut asked = JoinSet::new();
         for peer in self.any_peers() {
             asked.spawn(ask(peer));
@@ -326,6 +371,12 @@
         self.adopt(&fresh);
     }
 
+    /// Whether this VM is among those that join in to read the store.
+    fn joins_in(&self) -> bool {
+        let vms = self.book().catalogue().vms().count().max(1);
+        (self.chance)() < JOINERS / vms as f64
+    }
+
     /// Starts or stops to read the store.
     fn read_store(&self, on: bool) {
         let changed = self
@@ -336,10 +387,11 @@
         }
     }
 
-    fn question(&self, wait: Ms) -> Question {
+    fn question(&self, wait: Ms, cursor: Option<Cursor>) -> Question {
         Question {
             from: self.book().all_through(),
             wait,
+            cursor,
         }
     }
 }
@@ -364,6 +416,23 @@
     }
 }
 
+/// Takes targets for gone that have not come back after an outage.
+async fn end_graces(known: Arc<Known>) {
+    loop {
+        let next = known.with(|now, book| book.next_due().map(|at| at.since(now)));
+        match next {
+            Some(rest) => tokio::time::sleep(Duration::from_millis(rest.0)).await,
+            None => known.grace.notified().await,
+        }
+        for feed in Feed::ALL {
+            let due = known.with(|now, book| book.due(now, feed));
+            if !due.is_empty() {
+                known.adopt(&due);
+            }
+        }
+    }
+}
+
 /// Removes the entry of the next VM in the ring if it is gone for good: nobody
 /// else would, since entries do not lapse.
 async fn look_after_next(known: Arc<Known>, store: Arc<Store>, own: VmId) {
@@ -375,7 +444,7 @@
             continue;
         };
         let id = next.member.vm;
-        let question = known.question(Ms(0));
+        let question = known.question(Ms(0), None);
         if (known.ask)(next.peer, question, TRIP).await.is_ok() {
             missed = (id, 0);
             continue;
@@ -403,6 +472,7 @@
 async fn ask_peers(known: Arc<Known>, mut relay: Relay, seeds: Vec<Address>) {
     ask_seeds(&known, &seeds).await;
     let mut asked: Option<VmId> = None;
+    let mut cursor = None;
     loop {
         let now = (known.clock)();
         let source = relay.source(now, known.book().catalogue());
@@ -411,25 +481,38 @@
             log::info!(target: "peer", from = asked.map_or(0, |v| v.0), to = next.map_or(0, |v| v.0);
                 "source of the catalogue changes; 0 is the store");
             asked = next;
+            cursor = None;
         }
         let Some(vm) = source else {
             known.read_store(true);
-            tokio::time::sleep(Duration::from_millis(WAIT.0)).await;
+            ask_substitute(&known, &mut relay).await;
             continue;
         };
         let fresh = known.book().fresh_for(now, age_max);
-        match ask_within(&known, fresh.max(SEED_WAIT), &vm).await {
-            Ok(update) => known.learn_from_peer(update),
+        match ask_within(&known, fresh.max(SEED_WAIT), &vm, cursor).await {
+            Ok(reply) => {
+                cursor = Some(reply.cursor);
+                known.learn_from_peer(reply.update);
+            }
             Err(error) if error.code == Code::TooMuch => {
                 known.read_store(true);
                 tokio::time::sleep(CATCH_UP).await;
                 continue;
             }
+            // It lives, and tries to reach the store itself. Some of the others
+            // help it find out whether the store is there.
+            Err(error) if error.code == Code::NotFresh => {
+                if fresh == Ms(0) && known.joins_in() {
+                    known.read_store(true);
+                }
+                tokio::time::sleep(FRESH_RETRY).await;
+                continue;
+            }
             Err(error) => {
                 relay.suspect((known.clock)(), vm.member.vm);
                 log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
                     "peer passed over for a while");
-                let pause = PEER_RETRY.min(fresh);
+                let pause = PEER_RETRY.min(fresh).max(PEER_RETRY_MIN);
                 tokio::time::sleep(Duration::from_millis(pause.0)).await;
             }
         }
@@ -438,10 +521,36 @@
     }
 }
 
+/// Asks another VM that reads the store while this one cannot reach it, or cannot
+/// tell whether the store was away for all. Its peers lag no more than it does.
+async fn ask_substitute(known: &Known, relay: &mut Relay) {
+    let now = (known.clock)();
+    let alone = known.feeds_lost() > 0 || known.book().is_in_grace(now);
+    let substitute = match alone {
+        true => relay.substitute(now, known.book().catalogue()),
+        false => None,
+    };
+    let Some(vm) = substitute else {
+        return tokio::time::sleep(Duration::from_millis(WAIT.0)).await;
+    };
+    match ask_within(known, WAIT + TRIP, &vm, None).await {
+        Ok(reply) => {
+            known.learn_from_peer(reply.update);
+            tokio::time::sleep(SUBSTITUTE_PAUSE).await;
+        }
+        Err(error) => {
+            relay.suspect((known.clock)(), vm.member.vm);
+            log::info!(target: "peer", vm = vm.member.vm.0, error = error.to_string().as_str();
+                "peer passed over for a while");
+            tokio::time::sleep(Duration::from_millis(PEER_RETRY.0)).await;
+        }
+    }
+}
+
 /// Asks a peer, and gives it up once what is known would grow too old.
-async fn ask_within(known: &Known, limit: Ms, vm: &Vm) -> Result<Update> {
+async fn ask_within(known: &Known, limit: Ms, vm: &Vm, cursor: Option<Cursor>) -> Result<Reply> {
     let limit = Duration::from_millis(limit.0);
-    let asked = (known.ask)(vm.peer, known.question(WAIT), WAIT + TRIP);
+    let asked = (known.ask)(vm.peer, known.question(WAIT, cursor), WAIT + TRIP);
     match tokio::time::timeout(limit, asked).await {
         Ok(answer) => answer,
         Err(_) => Err(no_peer(format!("no answer within {limit:?}"))),
@@ -452,12 +561,12 @@
 async fn ask_seeds(known: &Arc<Known>, seeds: &[Address]) {
     let mut asked = JoinSet::new();
     for seed in seeds.iter().copied() {
-        asked.spawn((known.ask)(seed, known.question(Ms(0)), TRIP));
+        asked.spawn((known.ask)(seed, known.question(Ms(0), None), TRIP));
     }
     let first = async {
         while let Some(answer) = asked.join_next().await {
-            if let Ok(Ok(update)) = answer {
-                return Some(update);
+            if let Ok(Ok(reply)) = answer {
+                return Some(reply.update);
             }
         }
         None
--- a/burdocklever/src/exchange.rs
+++ b/burdocklever/src/exchange.rs
@@ -10,9 +10,8 @@
 use axum::Router;
 use wire::Address;
 
-use crate::book::Update;
 use crate::code::Code;
-use crate::control::{no_peer, Known, Question};
+use crate::control::{no_peer, Known, Question, Reply};
 use crate::platform::{Error, Result};
 use crate::time::Ms;
 
@@ -65,7 +64,7 @@
     address: Address,
     question: Question,
     timeout: Ms,
-) -> Result<Update> {
+) -> Result<Reply> {
     let body = rmp_serde::to_vec(&question).map_err(no_peer)?;
     let timeout = Duration::from_millis(timeout.0);
     let url = format!("http://{address}/catalogue");
--- a/burdocklever/src/follow.rs
+++ b/burdocklever/src/follow.rs
@@ -24,15 +24,17 @@
 }
 
 /// Time that a call may take at first; a store that is slow gets up to
-/// [`CALL_MAX`]. Answers normally take 4 ms.
+/// [`CALL_MAX`]. Answers normally take 4 ms. A call that hangs as the store comes
+/// back, the pause after it and the time of grace must end within the 4 s after
+/// which changes count again.
 const CALL: Ms = Ms(500);
-const CALL_MAX: Ms = Ms(4000);
+const CALL_MAX: Ms = Ms(1000);
 /// Pause after a change, so that changes in quick succession cost one call.
 const GATHER: Duration = Duration::from_millis(300);
 /// First and longest pause after a failed call. The first is short because a VM
 /// that has just started serves nobody; the longest because each call costs.
 const RETRY_MIN: Duration = Duration::from_millis(25);
-const RETRY_MAX: Duration = Duration::from_millis(1000);
+const RETRY_MAX: Duration = Duration::from_millis(500);
 
 /// Follows `feed` for ever, as long as `direct` says so.
 pub(crate) async fn follow(
@@ -52,14 +54,11 @@
         let result = match at {
             None => list(&store, feed, timeout).await,
             Some(at) => {
-                let wait = watch_time(feed);
+                // A store that was lost is asked for no more than an answer.
+                let wait = if failed > 0 { Ms(0) } else { watch_time(feed) };
                 (store.read)(feed, Ask::Watch(at, wait), wait + timeout).await
             }
         };
-        let due = known.with(|now, book| book.due(now, feed));
-        if !due.is_empty() {
-            known.adopt(&due);
-        }
         let pause = match result {
             Ok(page) => {
                 failed = 0;
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -79,7 +79,7 @@
 pub use cell::{DRIFT, HEARTBEAT, LEASE, SILENCE};
 pub use claim::{Answer, Claim, Claims, KEY_LIFE};
 pub use code::Code;
-pub use control::{AskPeer, Control, Known, News, Ports, Question};
+pub use control::{AskPeer, Control, Cursor, Known, News, Ports, Question, Reply};
 pub use daemon::{Daemon, Error as DaemonError};
 /// Catalogue files.
 pub mod entries {
--- a/burdocklever/src/relay.rs
+++ b/burdocklever/src/relay.rs
@@ -70,6 +70,14 @@
         list
     }
 
+    /// The peer to ask while this VM is to read the store and cannot reach it.
+    pub fn substitute(&self, now: Time, catalogue: &Catalogue) -> Option<Vm> {
+        let watchers = self.watchers(now, catalogue);
+        let others = watchers.into_iter().filter(|vm| vm.member.vm != self.own);
+        let score = |vm: &Vm| rank::score(self.own.0.into(), vm.member.vm.0.into());
+        others.max_by_key(|vm| score(vm)).cloned()
+    }
+
     /// The peer to ask; none if this VM is to read the store itself. A watcher
     /// of the own failure domain goes first: the link to it is the shortest.
     pub fn source(&self, now: Time, catalogue: &Catalogue) -> Option<Vm> {
--- a/burdocklever/tests/book.rs
+++ b/burdocklever/tests/book.rs
@@ -254,3 +254,39 @@
     let changed = other.learn(AT, late.update(AT, &[Version(6); Feed::COUNT]));
     assert_eq!(names(&changed), [""; 0]);
 }
+
+/// A VM that reads the store holds a removal back after an outage, tells a peer what
+/// else it knows, and dies. Found by a storm of the model.
+#[test]
+fn a_removal_that_was_held_back_is_heard_from_another_vm() {
+    let mut reader = two_hosts();
+    let mut peer = two_hosts();
+    let mut other = two_hosts();
+    reader.lost(HOSTS);
+    reader.regained(AT, HOSTS);
+    for book in [&mut reader, &mut other] {
+        book.change(AT, HOSTS, vec![removed(1, 7), host(3, 8)], Version(8));
+    }
+    let learned = peer.learn(AT, reader.update(AT, &peer.all_through()));
+    assert_eq!(names(&learned), ["+3"]);
+    let learned = peer.learn(AT, other.update(AT, &peer.all_through()));
+    assert_eq!(names(&learned), ["-1"]);
+    // The reader itself hears of it too: the store was not away for all.
+    let learned = reader.learn(AT, other.update(AT, &reader.all_through()));
+    assert_eq!(names(&learned), ["-1"]);
+    assert_eq!(reader.next_due(), None);
+}
+
+#[test]
+fn a_removal_that_is_due_reaches_peers_that_knew_later_changes() {
+    let mut reader = two_hosts();
+    let mut peer = two_hosts();
+    reader.lost(HOSTS);
+    reader.regained(AT, HOSTS);
+    reader.change(AT, HOSTS, vec![removed(1, 7), host(3, 8)], Version(8));
+    peer.learn(AT, reader.update(AT, &peer.all_through()));
+    let later = AT + Ms(2200);
+    assert_eq!(names(&reader.due(later, HOSTS)), ["-1"]);
+    let learned = peer.learn(later, reader.update(later, &peer.all_through()));
+    assert_eq!(names(&learned), ["-1"]);
+}
--- /dev/null
+++ b/model/src/lib.rs
@@ -0,0 +1,17 @@
+//! Seeded models of whole fleets, run on the product's own decisions.
+//!
+//! ```
+//! use model::{storm, Flaw};
+//!
+//! let report = storm(1, 9, 5, Flaw::None);
+//! assert!(report.broken.is_empty(), "{:?}", report.broken);
+//! ```
+
+mod fleet;
+mod growth;
+mod relay;
+mod store;
+
+pub use fleet::{Cost, Flaw, Fleet, Plan};
+pub use growth::growth;
+pub use relay::{storm, Report};
--- /dev/null
+++ b/model/src/main.rs
@@ -0,0 +1,62 @@
+//! Experiments on whole fleets in simulated time.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use model::{growth, storm, Flaw};
+
+/// Experiments on whole fleets in simulated time. Exit status: 0 done, 1 a promise
+/// was broken or a report could not be written.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Storms on the relay until enough objects were heard of
+    #[bpaf(command)]
+    Relay {
+        /// First seed
+        #[bpaf(long, argument("SEED"), fallback(100))]
+        seed: u64,
+        /// Objects that VMs are to hear of, over all seeds
+        #[bpaf(long, argument("COUNT"), fallback(1_000_000))]
+        events: u64,
+    },
+    /// What control costs a VM as fleets grow; writes docs/figures
+    #[bpaf(command)]
+    Growth,
+}
+
+/// Fleets that take turns in storms: small, and of the deployments' sizes.
+const FLEETS: [u32; 4] = [4, 9, 24, 61];
+/// Length of a storm in seconds.
+const STORM_S: u64 = 60;
+
+fn main() -> ExitCode {
+    let done = match command().run() {
+        Command::Relay { seed, events } => relay(seed, events),
+        Command::Growth => growth().map_err(|e| e.to_string()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("model: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn relay(first: u64, wanted: u64) -> Result<(), String> {
+    let mut events = 0;
+    let mut seed = first;
+    while events < wanted {
+        let vms = FLEETS[(seed % FLEETS.len() as u64) as usize];
+        let report = storm(seed, vms, STORM_S, Flaw::None);
+        events += report.events;
+        println!("seed {seed}, {vms} VMs: {} objects heard of", report.events);
+        if !report.broken.is_empty() {
+            return Err(format!("seed {seed}: {:#?}", report.broken));
+        }
+        seed += 1;
+    }
+    println!("{events} objects heard of, no promise broken");
+    Ok(())
+}
--- /dev/null
+++ b/model/src/relay.rs
@@ -0,0 +1,117 @@
+//! Storms on the relay: VMs die, are cut off and return while changes come, and
+//! the oracle checks that each VM in touch knows them in time.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::fleet::{Flaw, Fleet, Plan};
+
+/// What a storm showed.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// Objects that VMs heard of.
+    pub events: u64,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// Calls to the store, and those that it refused.
+    pub calls: (u64, u64),
+}
+
+/// Longest fault.
+const FAULT_MAX_MS: u64 = 6000;
+
+/// Plays a storm of `seconds` on a fleet of `vms`.
+pub fn storm(seed: u64, vms: u32, seconds: u64, flaw: Flaw) -> Report {
+    let plan = Plan {
+        vms,
+        run: vms,
+        domains: 4,
+        targets: 120,
+        routes: 20,
+        rate: 6000.0,
+    };
+    simulate(async move {
+        let mut fleet = Fleet::spawn(plan, seed, flaw).await;
+        fleet.play(Duration::from_secs(6)).await;
+        let mut heal: Vec<(u64, usize)> = Vec::new();
+        let mut outage = None;
+        for now in 0..seconds * 10 {
+            for _ in 0..fleet.rng.random_range(0..4) {
+                fleet.change();
+            }
+            let due: Vec<usize> = heal.iter().filter(|h| h.0 <= now).map(|h| h.1).collect();
+            heal.retain(|h| h.0 > now);
+            for i in due {
+                mend(&mut fleet, i);
+            }
+            if outage.is_some_and(|until| until <= now) {
+                outage = None;
+                fleet.store_down(false);
+            }
+            if fleet.rng.random_range(0..4) == 0 {
+                let lasts = fleet.rng.random_range(1..FAULT_MAX_MS / 100);
+                let i = victim(&mut fleet, vms);
+                if !heal.iter().any(|h| h.1 == i) {
+                    strike(&mut fleet, i);
+                    heal.push((now + lasts, i));
+                }
+            }
+            if outage.is_none() && fleet.rng.random_range(0..200) == 0 {
+                fleet.store_down(true);
+                outage = Some(now + fleet.rng.random_range(1..40));
+            }
+            fleet.play(Duration::from_millis(100)).await;
+        }
+        fleet.store_down(false);
+        for (_, i) in heal {
+            mend(&mut fleet, i);
+        }
+        fleet.play(Duration::from_secs(12)).await;
+        Report {
+            events: fleet.events(),
+            broken: fleet.broken(),
+            calls: fleet.store_calls(),
+        }
+    })
+}
+
+/// Half of the time a VM that reads the store: its peers depend on it.
+fn victim(fleet: &mut Fleet, vms: u32) -> usize {
+    let readers = fleet.readers();
+    match fleet.rng.random() {
+        true if !readers.is_empty() => readers[fleet.rng.random_range(0..readers.len())],
+        _ => fleet.rng.random_range(0..vms as usize),
+    }
+}
+
+fn strike(fleet: &mut Fleet, i: usize) {
+    match fleet.rng.random_range(0..5) {
+        0 => fleet.kill(i),
+        1 => fleet.cut_store(i, true),
+        2 => fleet.cut_peers(i, true, false),
+        3 => fleet.cut_peers(i, false, true),
+        _ => fleet.cut_peers(i, true, true),
+    }
+}
+
+fn mend(fleet: &mut Fleet, i: usize) {
+    fleet.cut_store(i, false);
+    fleet.cut_peers(i, false, false);
+    if !fleet.is_up(i) {
+        fleet.start(i);
+    }
+}
+
+/// Runs a future in simulated time.
+pub(crate) fn simulate<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(future),
+        // Without a runtime nothing can be simulated at all.
+        Err(error) => panic!("no runtime: {error}"),
+    }
+}
--- /dev/null
+++ b/model/src/store.rs
@@ -0,0 +1,184 @@
+//! The platform's store: objects by feed, watches, a rate, outages.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use burdocklever::{Ask, Code, Feed, Ms, Page, PlatformError};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, Instant};
+use wire::{Body, Object, ObjectKey, Version};
+
+/// Time of an answer; the site files name it.
+const ANSWER: Duration = Duration::from_millis(4);
+/// Objects a page.
+const PAGE: usize = 50;
+
+/// Result of a call.
+pub(crate) type Result<T> = std::result::Result<T, PlatformError>;
+
+/// Content and limits.
+pub(crate) struct Store {
+    revision: u64,
+    objects: BTreeMap<ObjectKey, Object>,
+    /// Changes of each feed in their order.
+    changes: [Vec<Object>; Feed::COUNT],
+    /// Wakes watches of a feed.
+    wake: [watch::Sender<u64>; Feed::COUNT],
+    /// Calls a second.
+    rate: f64,
+    calls_left: f64,
+    filled: Instant,
+    pub(crate) down: bool,
+    pub(crate) calls: u64,
+    pub(crate) refused: u64,
+}
+
+impl Store {
+    /// An empty store that takes `rate` reading calls a second.
+    pub(crate) fn new(rate: f64) -> Store {
+        Store {
+            revision: 0,
+            objects: BTreeMap::new(),
+            changes: Default::default(),
+            wake: std::array::from_fn(|_| watch::Sender::new(0)),
+            rate,
+            calls_left: rate,
+            filled: Instant::now(),
+            down: false,
+            calls: 0,
+            refused: 0,
+        }
+    }
+
+    /// Writes an object, or removes it. Returns it as it is stored.
+    pub(crate) fn put(&mut self, key: ObjectKey, body: Body) -> Object {
+        self.revision += 1;
+        let object = Object {
+            key: key.clone(),
+            version: Version(self.revision),
+            change: 0,
+            body,
+        };
+        let feed = Feed::of(&key).map_or(0, |f| f as usize);
+        match object.body {
+            Body::Removed => self.objects.remove(&key),
+            _ => self.objects.insert(key, object.clone()),
+        };
+        self.changes[feed].push(object.clone());
+        self.wake[feed].send_modify(|n| *n += 1);
+        object
+    }
+
+    /// Takes a call, unless the store is down or busy.
+    fn take(&mut self) -> Result<()> {
+        let now = Instant::now();
+        let fresh = now.duration_since(self.filled).as_secs_f64() * self.rate;
+        self.calls_left = (self.calls_left + fresh).min(self.rate);
+        self.filled = now;
+        self.calls += 1;
+        if self.calls_left < 1.0 {
+            self.refused += 1;
+            return Err(error(Code::Throttled));
+        }
+        self.calls_left -= 1.0;
+        Ok(())
+    }
+
+    fn list(&self, feed: Feed, after: Option<&str>) -> Page {
+        let of_feed = self
+            .objects
+            .values()
+            .filter(|o| Feed::of(&o.key) == Some(feed));
+        let rest = of_feed.filter(|o| after.is_none_or(|name| &*o.key.name > name));
+        // All routes stand in one object.
+        let most = if feed == Feed::Routes {
+            usize::MAX
+        } else {
+            PAGE
+        };
+        let objects: Vec<Object> = rest.take(most).cloned().collect();
+        let full = objects.len() == most;
+        Page {
+            next: objects.last().filter(|_| full).map(|o| o.key.name.clone()),
+            objects,
+            through: Version(self.revision),
+            ..Page::default()
+        }
+    }
+
+    fn changes(&self, feed: Feed, from: Version) -> Option<Page> {
+        let all = &self.changes[feed as usize];
+        let first = all.partition_point(|o| o.version <= from);
+        if first == all.len() {
+            return None;
+        }
+        let mut page = match feed {
+            Feed::Routes => Page {
+                whole: true,
+                ..self.list(feed, None)
+            },
+            _ => Page::default(),
+        };
+        if feed != Feed::Routes {
+            page.objects = all[first..].to_vec();
+        }
+        page.through = Version(self.revision);
+        Some(page)
+    }
+}
+
+pub(crate) fn error(code: Code) -> PlatformError {
+    PlatformError {
+        code,
+        detail: code.text().into(),
+    }
+}
+
+/// Carries out a call. `reaches` says whether packets pass.
+pub(crate) async fn read(
+    store: &std::sync::Mutex<Store>,
+    reaches: impl Fn() -> bool,
+    feed: Feed,
+    ask: Ask,
+    limit: Ms,
+) -> Result<Page> {
+    let call = async {
+        let lock = || store.lock().unwrap_or_else(|e| e.into_inner());
+        sleep(ANSWER / 2).await;
+        if !reaches() || lock().down {
+            std::future::pending::<()>().await;
+        }
+        lock().take()?;
+        let page = match ask {
+            Ask::List(after) => lock().list(feed, after.as_deref()),
+            Ask::Watch(from, wait) => {
+                let mut woken = lock().wake[feed as usize].subscribe();
+                let until = Instant::now() + Duration::from_millis(wait.0);
+                loop {
+                    if let Some(page) = lock().changes(feed, from) {
+                        break page;
+                    }
+                    if tokio::time::timeout_at(until, woken.changed())
+                        .await
+                        .is_err()
+                    {
+                        let through = Version(lock().revision);
+                        break Page {
+                            through,
+                            ..Page::default()
+                        };
+                    }
+                }
+            }
+        };
+        sleep(ANSWER / 2).await;
+        if !reaches() || lock().down {
+            std::future::pending::<()>().await;
+        }
+        Ok(page)
+    };
+    let limit = Duration::from_millis(limit.0);
+    timeout(limit, call)
+        .await
+        .unwrap_or_else(|_| Err(error(Code::NoPlatform)))
+}
--- /dev/null
+++ b/model/tests/relay.rs
@@ -0,0 +1,35 @@
+//! The relay in storms, seeded. `cargo run --release -p model -- relay` plays
+//! more of them.
+
+use model::{storm, Flaw};
+
+/// Whether some storm shows a flaw.
+fn finds(flaw: Flaw) -> bool {
+    let late = |seed| {
+        let report = storm(seed, 24, 30, flaw);
+        report.broken.iter().any(|b| b.contains("in time"))
+    };
+    (0..8).any(late)
+}
+
+#[test]
+fn no_vm_goes_back_or_is_late_in_a_storm() {
+    let mut events = 0;
+    for seed in 0..4 {
+        let report = storm(seed, 24, 30, Flaw::None);
+        let broken = &report.broken;
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        events += report.events;
+    }
+    assert!(events > 20_000, "only {events} events");
+}
+
+#[test]
+fn the_oracle_finds_peers_that_hide_their_age() {
+    assert!(finds(Flaw::Ageless));
+}
+
+#[test]
+fn the_oracle_finds_peers_that_hide_removals() {
+    assert!(finds(Flaw::Immortal));
+}
