A fleet that starts reads lists that may be old, then what changed since

Cause: the model never got a fleet of 300 VMs or more back after a total loss (60 s and more): each VM lists all targets, the lists pass the store's rate, and a list in which one page was refused started over.

Ruled out: catalogues from peers (at 3,000 targets more than a link should carry).

Change: lists may be some seconds old, which costs a tenth and does not count toward the rate; a watch from their revision, at once, tells the rest, before anything is believed. If that history is gone, the list is read as of now. A refused page is asked for again.

--- a/burdocklever/src/follow.rs
+++ b/burdocklever/src/follow.rs
@@ -9,7 +9,7 @@
 use crate::code::Code;
 use crate::control::Known;
 use crate::platform::Result;
-use crate::store::{Ask, Feed, Page, Store};
+use crate::store::{Ask, Feed, Page, Recency, Store};
 use crate::time::Ms;
 
 /// Time that a watch waits for a change. With a peer's `control::WAIT` it stays
@@ -31,6 +31,8 @@
 const CALL_MAX: Ms = Ms(1000);
 /// Pause after a change, so that changes in quick succession cost one call.
 const GATHER: Duration = Duration::from_millis(300);
+/// Refusals for the store's rate that a list bears before it starts over.
+const REFUSED_MAX: u32 = 50;
 /// First and longest pause after a failed call. The first is short because a VM
 /// that has just started serves nobody; the longest because each call costs.
 const RETRY_MIN: Duration = Duration::from_millis(25);
@@ -45,6 +47,7 @@
 ) {
     let mut failed: u32 = 0;
     let mut listed = true;
+    let mut recency = Recency::Recent;
     loop {
         if direct.wait_for(|on| *on).await.is_err() {
             return;
@@ -52,19 +55,24 @@
         let at = known.book().through(feed).filter(|_| listed);
         let timeout = Ms((CALL.0 << failed.min(3)).min(CALL_MAX.0));
         let result = match at {
-            None => list(&store, feed, timeout).await,
+            None => list(&known, &store, feed, recency, timeout).await,
             Some(at) => {
                 // A store that was lost is asked for no more than an answer.
                 let wait = if failed > 0 { Ms(0) } else { watch_time(feed) };
-                (store.read)(feed, Ask::Watch(at, wait), wait + timeout).await
+                let watched = (store.read)(feed, Ask::Watch(at, wait), wait + timeout).await;
+                watched.map(|page| vec![page])
             }
         };
         let pause = match result {
-            Ok(page) => {
+            Ok(pages) => {
                 failed = 0;
                 let first = at.is_none();
                 listed = true;
-                let changed = take(&known, feed, page, first);
+                recency = Recency::Recent;
+                let mut changed = false;
+                for page in pages {
+                    changed |= take(&known, feed, page, first);
+                }
                 match changed && !first {
                     true => GATHER,
                     false => Duration::ZERO,
@@ -72,6 +80,7 @@
             }
             Err(error) if error.code == Code::HistoryGone => {
                 listed = false;
+                recency = Recency::Current;
                 Duration::ZERO
             }
             Err(error) => {
@@ -111,18 +120,45 @@
     !changed.is_empty() || skipped > 0
 }
 
-/// Reads all pages of a feed. The first page's revision counts for all: what
-/// changed meanwhile is told again by the watch that follows.
-async fn list(store: &Store, feed: Feed, timeout: Ms) -> Result<Page> {
-    let mut all = (store.read)(feed, Ask::List(None), timeout).await?;
-    while let Some(next) = all.next.take() {
-        let page = (store.read)(feed, Ask::List(Some(next)), timeout).await?;
+/// Reads all pages of a feed, and what has changed since. The first page's revision
+/// counts for all: what changed meanwhile is told again. Pages that the store refuses
+/// for its rate are asked for again, or a fleet that starts would never end.
+async fn list(
+    known: &Known,
+    store: &Store,
+    feed: Feed,
+    recency: Recency,
+    timeout: Ms,
+) -> Result<Vec<Page>> {
+    let mut all = Page::default();
+    let mut refused = 0;
+    let mut after = None;
+    loop {
+        let page = match (store.read)(feed, Ask::List(after.clone(), recency), timeout).await {
+            Err(error) if error.code == Code::Throttled && refused < REFUSED_MAX => {
+                refused += 1;
+                tokio::time::sleep(retry_pause(known, refused)).await;
+                continue;
+            }
+            page => page?,
+        };
+        if after.is_none() {
+            all.through = page.through;
+        }
         all.objects.extend(page.objects);
         all.skipped += page.skipped;
-        all.next = page.next;
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
     }
     all.whole = true;
-    Ok(all)
+    if recency == Recency::Current {
+        return Ok(vec![all]);
+    }
+    let since = Ask::Watch(all.through, Ms(0));
+    let rest = (store.read)(feed, since, timeout).await?;
+    Ok(vec![all, rest])
 }
 
 /// Doubles from [`RETRY_MIN`] to [`RETRY_MAX`], half of it random so that VMs
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -103,7 +103,7 @@
 pub use source::Error as SourceError;
 pub use status::Status;
 pub use steer::{Bounds, Doubt, Finding, GivenUp, Opening, Steering};
-pub use store::{Ask, Call, Entry, Feed, Page, Store};
+pub use store::{Ask, Call, Entry, Feed, Page, Recency, Store};
 pub use time::{Ms, Time};
 pub use token::Token;
 pub use trace::open as trace_to;
--- a/burdocklever/src/store.rs
+++ b/burdocklever/src/store.rs
@@ -61,11 +61,21 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ask {
     /// A page of all objects, after the one that the last page ended with.
-    List(Option<Box<str>>),
+    List(Option<Box<str>>, Recency),
     /// Changes after a revision, once there are some or the time has passed.
     Watch(Version, Ms),
 }
 
+/// How recent a list must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recency {
+    /// Some seconds old at most: costs the store little, so that a whole fleet may
+    /// ask at once. A watch from its revision tells the rest.
+    Recent,
+    /// As of the call.
+    Current,
+}
+
 /// What a call told.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Page {
--- a/model/src/growth.rs
+++ b/model/src/growth.rs
@@ -126,6 +126,15 @@
     })
 }
 
+/// Time until nine VMs of ten can serve again, after all of a fleet were killed.
+pub fn restart(plan: Plan) -> Duration {
+    simulate(async move {
+        let mut fleet = Fleet::spawn(plan, 1, Flaw::None).await;
+        fleet.play(Duration::from_secs(10)).await;
+        lose_all(&mut fleet, plan.run).await
+    })
+}
+
 /// Kills all VMs, starts them again and waits until nine of ten can serve.
 async fn lose_all(fleet: &mut Fleet, run: u32) -> Duration {
     for i in 0..run as usize {
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -13,5 +13,5 @@
 mod store;
 
 pub use fleet::{Cost, Flaw, Fleet, Plan};
-pub use growth::growth;
+pub use growth::{growth, restart};
 pub use relay::{storm, Report};
--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -1,7 +1,9 @@
 //! The relay in storms, seeded. `cargo run --release -p model -- relay` plays
 //! more of them.
 
-use model::{storm, Flaw};
+use std::time::Duration;
+
+use model::{restart, storm, Flaw, Plan};
 
 /// Whether some storm shows a flaw.
 fn finds(flaw: Flaw) -> bool {
@@ -33,3 +35,18 @@
 fn the_oracle_finds_peers_that_hide_removals() {
     assert!(finds(Flaw::Immortal));
 }
+
+/// All VMs of a fleet start at once, and together ask for more than the store's rate.
+#[test]
+fn a_fleet_that_was_lost_serves_again_soon_at_a_busy_store() {
+    let plan = Plan {
+        vms: 60,
+        run: 60,
+        domains: 4,
+        targets: 3000,
+        routes: 20,
+        rate: 200.0,
+    };
+    let again = restart(plan);
+    assert!(again < Duration::from_secs(3), "{again:?}");
+}
