--- a/burdocklever/src/follow.rs
+++ b/burdocklever/src/follow.rs
@@ -31,7 +31,7 @@
 const CALL_MAX: Ms = Ms(1000);
 /// Pause after a change, so that changes in quick succession cost one call.
 const GATHER: Duration = Duration::from_millis(300);
-/// Refusals for the store's rate that a list bears before it starts over.
+/// Refusals for the store's rate that a call of a list bears.
 const REFUSED_MAX: u32 = 50;
 /// First and longest pause after a failed call. The first is short because a VM
 /// that has just started serves nobody; the longest because each call costs.
@@ -131,17 +131,10 @@
     timeout: Ms,
 ) -> Result<Vec<Page>> {
     let mut all = Page::default();
-    let mut refused = 0;
     let mut after = None;
     loop {
-        let page = match (store.read)(feed, Ask::List(after.clone(), recency), timeout).await {
-            Err(error) if error.code == Code::Throttled && refused < REFUSED_MAX => {
-                refused += 1;
-                tokio::time::sleep(retry_pause(known, refused)).await;
-                continue;
-            }
-            page => page?,
-        };
+        let ask = Ask::List(after.clone(), recency);
+        let page = read_patiently(known, store, feed, ask, timeout).await?;
         if after.is_none() {
             all.through = page.through;
         }
@@ -157,10 +150,29 @@
         return Ok(vec![all]);
     }
     let since = Ask::Watch(all.through, Ms(0));
-    let rest = (store.read)(feed, since, timeout).await?;
+    let rest = read_patiently(known, store, feed, since, timeout).await?;
     Ok(vec![all, rest])
 }
 
+/// Makes a call again while the store refuses it for its rate.
+async fn read_patiently(
+    known: &Known,
+    store: &Store,
+    feed: Feed,
+    ask: Ask,
+    timeout: Ms,
+) -> Result<Page> {
+    for refused in 1..=REFUSED_MAX {
+        match (store.read)(feed, ask.clone(), timeout).await {
+            Err(error) if error.code == Code::Throttled => {
+                tokio::time::sleep(retry_pause(known, refused)).await;
+            }
+            page => return page,
+        }
+    }
+    (store.read)(feed, ask, timeout).await
+}
+
 /// Doubles from [`RETRY_MIN`] to [`RETRY_MAX`], half of it random so that VMs
 /// do not call together.
 fn retry_pause(known: &Known, failed: u32) -> Duration {
