--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -45,6 +45,8 @@
         token::packet_time(),
         token::open_time(),
         token::flow_memory(),
+        token::written_line_time(),
+        token::omitted_line_time(),
     ];
     let header = "slope,x,y,base,per unit,largest residual,same in every run,points";
     let mut rows = Vec::new();
--- a/bench/src/token.rs
+++ b/bench/src/token.rs
@@ -163,3 +163,81 @@
         points: points.to_vec(),
     }
 }
+
+/// Lines of one part that the journal takes in a second.
+const LINES_A_PART: u64 = 100;
+
+/// Time of one thread to hand lines of new flows to the journal, the first
+/// [`LINES_A_PART`] of each part, or all of one part, most of which are left out.
+fn line_time(name: &'static str, parts: bool) -> Slope {
+    let points = PACKETS.map(|n| {
+        let n = n / 10;
+        let time = timed(|| {
+            let Ok(journal) = burdocklever::journal::Journal::spawn(std::io::sink()) else {
+                return;
+            };
+            for i in 0..n {
+                let part = if parts { i / LINES_A_PART } else { 0 };
+                log_line(&journal, part, i);
+            }
+        });
+        (n as f64, time)
+    });
+    Slope {
+        name,
+        x: "lines",
+        y: "ns",
+        exact: false,
+        points: points.to_vec(),
+    }
+}
+
+/// Fields of a line.
+struct Line<'a>([(&'a str, &'a str); 1], [(&'a str, u64); 6]);
+
+impl log::kv::Source for Line<'_> {
+    fn visit<'kvs>(
+        &'kvs self,
+        visitor: &mut dyn log::kv::VisitSource<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        self.0.visit(visitor)?;
+        self.1.visit(visitor)
+    }
+}
+
+/// A line as a gateway writes it for a new flow.
+fn log_line(journal: &burdocklever::journal::Journal, part: u64, caller: u64) {
+    let segment = segment(caller, Stage::Open, Token::NONE);
+    let flow = format!("{}-{}", segment.caller, segment.service);
+    let fields: [(&str, u64); 6] = [
+        ("host", caller),
+        ("load", 16),
+        ("near", 30),
+        ("far", 90),
+        ("suspects", 0),
+        ("copy", 0),
+    ];
+    let pairs = [("flow", flow.as_str())];
+    let target = format!("part-{part}");
+    let line = Line(pairs, fields);
+    // An error here would only make a line cheaper than it is.
+    let _ = log4rs::append::Append::append(
+        journal,
+        &log::Record::builder()
+            .args(format_args!("flow opened"))
+            .level(log::Level::Info)
+            .target(&target)
+            .key_values(&line)
+            .build(),
+    );
+}
+
+/// Time to hand on a line that is written.
+pub(crate) fn written_line_time() -> Slope {
+    line_time("journal-line-time", true)
+}
+
+/// Time to hand on a line that is left out, over its part's budget.
+pub(crate) fn omitted_line_time() -> Slope {
+    line_time("journal-omitted-time", false)
+}
