Name the list's revision and the routes' age in the line of a new flow

Cause: the line named the targets weighed and their load, but not how old the knowledge was that they were chosen from. Decisions are the same.

--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -390,6 +390,9 @@
     if let Some(at) = book.confirmed(Feed::Routes) {
         steering.confirm(at);
     }
+    if let Some(revision) = book.through(Feed::Hosts) {
+        steering.set_revision(revision);
+    }
 }
 
 /// Checks targets whose life is in doubt.
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -88,7 +88,8 @@
     if let Some(o) = opening {
         count(&shared.counters.opened);
         log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
-            near = o.near, far = o.far, suspects = o.suspects, copy = o.copy; "flow opened");
+            near = o.near, far = o.far, suspects = o.suspects, copy = o.copy, revision = o.revision.0,
+            age_ms = o.age.0; "flow opened");
     }
 }
 
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -7,7 +7,7 @@
 use std::collections::hash_map::Entry;
 
 use rustc_hash::FxHashMap;
-use wire::{Address, DomainId, HostId, Object};
+use wire::{Address, DomainId, HostId, Object, Version};
 
 use crate::code::Code;
 use crate::msg::FlowKey;
@@ -56,6 +56,10 @@
     pub suspects: u32,
     /// Copies of the packet sent before.
     pub copy: u32,
+    /// Revision of the list of targets that it was chosen from.
+    pub revision: Version,
+    /// Time since the routes were last known to be up to date.
+    pub age: Ms,
 }
 
 /// A target whose life is in doubt.
@@ -118,6 +122,8 @@
     peers: u32,
     now: Time,
     confirmed: Option<Time>,
+    /// Revision of the list of targets.
+    revision: Version,
     /// Last time that no packet waited to be read.
     drained: Time,
     table: Table,
@@ -137,6 +143,7 @@
             peers: 1,
             now: Time(0),
             confirmed: None,
+            revision: Version(0),
             drained: Time(0),
             table: Table::new(home),
             flows: FxHashMap::default(),
@@ -164,6 +171,11 @@
         self.peers = peers;
     }
 
+    /// Sets the revision up to which targets are known.
+    pub fn set_revision(&mut self, revision: Version) {
+        self.revision = revision;
+    }
+
     /// Takes in that the routes known now were in force at `now`.
     pub fn confirm(&mut self, now: Time) {
         self.confirmed = Some(self.confirmed.map_or(now, |t| t.max(now)));
@@ -312,6 +324,8 @@
             far: choice.far,
             suspects: choice.suspects,
             copy: segment.ack,
+            revision: self.revision,
+            age: self.confirmed.map_or(Ms(0), |at| self.now.since(at)),
         });
         Verdict::Forward {
             host: target.host,
