Checks in a module of their own; a peer that refuses is no dead one

Cause, by reading: a VM looked after by another was counted as missing when it answered 'nothing fresh', so after three minutes of outage its entry could be removed though it lived; and since control runs on ports, a VM without a peer address listed itself. Change: only silence counts; such a VM is not listed. gateway.rs had grown past what one job needs: checks and the packets' thread move out.

--- a/burdocklever/src/control.rs
+++ b/burdocklever/src/control.rs
@@ -4,7 +4,6 @@
 //! a gateway; simulated ones let a whole fleet run in one process.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -125,8 +124,6 @@
     lost: Mutex<BTreeSet<Feed>>,
     /// Bytes that may be told peers now.
     allowance: Mutex<Allowance>,
-    /// Answers that peers got.
-    told: AtomicU64,
     ask: Box<AskPeer>,
     pub(crate) clock: Box<dyn Fn() -> Time + Send + Sync>,
     pub(crate) chance: Box<dyn Fn() -> f64 + Send + Sync>,
@@ -159,11 +156,14 @@
     known: Arc<Known>,
     tasks: JoinSet<()>,
     own: Vm,
+    /// Whether other VMs may ask this one.
+    listed: bool,
 }
 
 impl Control {
-    /// Starts to learn as VM `own`, from `seeds` first.
-    pub fn spawn(own: Vm, seeds: &[Address], ports: Ports) -> Control {
+    /// Starts to learn as VM `own`, from `seeds` first. `listed` says whether it
+    /// takes questions of other VMs, and so is to be listed in the store.
+    pub fn spawn(own: Vm, listed: bool, seeds: &[Address], ports: Ports) -> Control {
         let known = Arc::new(Known {
             own: own.member.vm,
             life: own.member.life,
@@ -177,7 +177,6 @@
                 bytes: BYTES_RATE,
                 filled: Time(0),
             }),
-            told: AtomicU64::new(0),
             ask: ports.ask,
             clock: ports.clock,
             chance: ports.chance,
@@ -187,6 +186,7 @@
             known,
             tasks: JoinSet::new(),
             own,
+            listed,
         };
         control.restart(seeds, ports.store);
         control
@@ -204,9 +204,12 @@
         let relay = Relay::new(self.own.member.vm, self.own.domain.clone());
         let asking = ask_peers(self.known.clone(), relay, seeds.to_vec());
         self.tasks.spawn(asking);
+        self.tasks.spawn(end_graces(self.known.clone()));
+        if !self.listed {
+            return;
+        }
         let keeping = keep_entry(self.known.clone(), store.clone(), self.own.clone());
         self.tasks.spawn(keeping);
-        self.tasks.spawn(end_graces(self.known.clone()));
         let looking = look_after_next(self.known.clone(), store, self.own.member.vm);
         self.tasks.spawn(looking);
     }
@@ -240,11 +243,6 @@
         *self.direct.borrow()
     }
 
-    /// Answers that peers got.
-    pub fn told(&self) -> u64 {
-        self.told.load(Ordering::Relaxed)
-    }
-
     /// What an asker lacks, as it travels. Waits for news while there is none.
     ///
     /// # Errors
@@ -276,7 +274,6 @@
                 detail: "read it from the store".into(),
             });
         }
-        self.told.fetch_add(1, Ordering::Relaxed);
         Ok(body)
     }
 
@@ -445,7 +442,12 @@
         };
         let id = next.member.vm;
         let question = known.question(Ms(0), None);
-        if (known.ask)(next.peer, question, TRIP).await.is_ok() {
+        let silent = match (known.ask)(next.peer, question, TRIP).await {
+            Ok(_) => false,
+            // A refusal shows that it lives.
+            Err(error) => error.code == Code::NoPeer,
+        };
+        if !silent {
             missed = (id, 0);
             continue;
         }
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -3,11 +3,8 @@
 //! One thread receives packets and does nothing else, so that no packet waits
 //! for the reading of a large catalogue. All else runs on the caller's runtime.
 
-use std::future::Future;
-use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::path::{Path, PathBuf};
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
@@ -15,22 +12,21 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::Router;
-use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 use wire::{Address, DomainId, HostId, Member, Object, State, Vm, VmId};
 
 use crate::book::Book;
 use crate::control::{Control, Known, News, Ports};
 use crate::daemon::{no_bind, start_life, Error, Result};
 use crate::exchange;
-use crate::gateway_packets::{end_flows, receive};
+use crate::gateway_checks::{check_targets, CheckTarget, DOUBTS_MAX};
+use crate::gateway_packets::spawn_receiver;
 use crate::gateway_settings::GatewaySettings;
 use crate::metrics::{Metrics, Sample};
 use crate::platform::{self, jitter};
 use crate::segment::Segment;
-use crate::steer::{Bounds, Doubt, Finding, Steering};
+use crate::steer::{Bounds, Doubt, Steering};
 use crate::store::{Feed, Store};
 use crate::time::{Ms, Time};
 use crate::token::Token;
@@ -44,17 +40,6 @@
 const QUIET: Ms = Ms(700);
 /// Shortest stop: the fabric asks twice a second and believes the second miss.
 const STOP_MIN: Ms = Ms(1500);
-/// Targets that may wait for a check, and checks at a time. A failure domain's
-/// targets die together, but a VM finds out one by one, as their flows repeat.
-const DOUBTS_MAX: usize = 64;
-const CHECKS_MAX: usize = 64;
-/// Time in which a target that lives takes a connection, and a peer answers, as
-/// long as this VM's link is free. Trips take 1 to 6 ms.
-const CHECK_PROMPT: Duration = Duration::from_millis(50);
-const LINK_FREE: Ms = Ms(150);
-/// Time after which a check ends without an answer. With what was waited before,
-/// it ends before a caller's second repeat, 400 ms after the first.
-const CHECK_MAX: Duration = Duration::from_millis(250);
 /// Part of the time before a stopping VM is killed, in percent, that it uses.
 const STOP_PERCENT: u64 = 80;
 
@@ -70,12 +55,6 @@
     pub reset: fn(&Segment, Address, &mut Vec<u8>) -> Address,
 }
 
-/// A check of a target in progress.
-pub type Check = Pin<Box<dyn Future<Output = std::io::Result<()>> + Send>>;
-
-/// Finds out whether something takes connections at a target's address.
-pub type CheckTarget = fn(Address) -> Check;
-
 /// What a platform's adapter gives.
 pub struct Adapter {
     /// Translation of packets.
@@ -201,7 +180,8 @@
         });
         let store = (adapter.open_store)(&settings).map_err(no_store)?;
         let ports = ports(&shared, store)?;
-        let control = Control::spawn(own_entry(&settings), &settings.seeds, ports);
+        let listed = settings.peer.is_some();
+        let control = Control::spawn(own_entry(&settings), listed, &settings.seeds, ports);
         let known = control.known();
         if let Some(address) = settings.peer {
             serve(address, exchange::app(known.clone())).await?;
@@ -301,36 +281,6 @@
     }
 }
 
-/// Starts the thread that receives packets. It has a runtime of its own, and
-/// builds it itself: a runtime must not be dropped inside another one.
-fn spawn_receiver(shared: Arc<Shared>) -> std::io::Result<()> {
-    let (began, begun) = std::sync::mpsc::sync_channel(1);
-    let run = move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_io()
-            .build();
-        let opened = runtime.and_then(|runtime| {
-            let _guard = runtime.enter();
-            let socket = UdpSocket::from_std(shared.socket.try_clone()?)?;
-            Ok((runtime, socket))
-        });
-        match opened {
-            Ok((runtime, socket)) => {
-                // Whoever waits for this has not gone: it blocks until it comes.
-                let _ = began.send(Ok(()));
-                runtime.block_on(receive(shared, socket));
-            }
-            Err(error) => {
-                let _ = began.send(Err(error));
-            }
-        }
-    };
-    std::thread::Builder::new()
-        .name("packets".into())
-        .spawn(run)?;
-    begun.recv().map_err(std::io::Error::other)?
-}
-
 fn no_store(error: platform::Error) -> Error {
     Error {
         code: error.code,
@@ -395,62 +345,6 @@
     }
 }
 
-/// Checks targets whose life is in doubt.
-async fn check_targets(
-    shared: Arc<Shared>,
-    known: Arc<Known>,
-    mut doubtful: mpsc::Receiver<Doubt>,
-    check: CheckTarget,
-) {
-    let mut running = JoinSet::new();
-    while let Some(doubt) = doubtful.recv().await {
-        while running.len() >= CHECKS_MAX || running.try_join_next().is_some() {
-            running.join_next().await;
-        }
-        let (shared, known) = (shared.clone(), known.clone());
-        running.spawn(async move {
-            let begun = shared.now();
-            let finding = check_target(&known, check(doubt.address)).await;
-            let now = shared.now();
-            log::info!(target: "target", host = doubt.host.0,
-                finding = finding.text(), took_ms = now.since(begun).0;
-                "target checked, since it does not answer");
-            shared.steering().judge(now, doubt.host, finding);
-            end_flows(&shared, &mut Vec::new());
-        });
-    }
-}
-
-/// What a check shows. One without a clear answer is believed only if a peer
-/// answers meanwhile: this VM's own link may be full.
-async fn check_target(known: &Known, mut check: Check) -> Finding {
-    let mut answer = tokio::time::timeout(CHECK_PROMPT, &mut check).await.ok();
-    let mut free = false;
-    if !answer.as_ref().is_some_and(is_clear) {
-        let rest = async {
-            match answer {
-                Some(answer) => Some(answer),
-                None => tokio::time::timeout(CHECK_MAX, check).await.ok(),
-            }
-        };
-        (answer, free) = tokio::join!(rest, known.is_link_free(LINK_FREE));
-    }
-    match answer {
-        Some(Ok(())) => Finding::Listens,
-        Some(answer) if is_clear(&answer) => Finding::Refuses,
-        _ if free => Finding::Unreachable,
-        _ => Finding::Unknown,
-    }
-}
-
-/// Whether an answer to a check can only come from where the target is.
-fn is_clear(answer: &std::io::Result<()>) -> bool {
-    match answer {
-        Ok(()) => true,
-        Err(error) => error.kind() == ErrorKind::ConnectionRefused,
-    }
-}
-
 fn bounds(settings: &GatewaySettings) -> Bounds {
     Bounds {
         leave: Ms(settings.leave.0 * LEAVE_PERCENT / 100),
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -16,8 +16,38 @@
 /// that one is too long.
 const PACKET_MAX: usize = 2048;
 
+/// Starts the thread that receives packets. It has a runtime of its own, and
+/// builds it itself: a runtime must not be dropped inside another one.
+pub(crate) fn spawn_receiver(shared: Arc<Shared>) -> std::io::Result<()> {
+    let (began, begun) = std::sync::mpsc::sync_channel(1);
+    let run = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .build();
+        let opened = runtime.and_then(|runtime| {
+            let _guard = runtime.enter();
+            let socket = UdpSocket::from_std(shared.socket.try_clone()?)?;
+            Ok((runtime, socket))
+        });
+        match opened {
+            Ok((runtime, socket)) => {
+                // Whoever waits for this has not gone: it blocks until it comes.
+                let _ = began.send(Ok(()));
+                runtime.block_on(receive(shared, socket));
+            }
+            Err(error) => {
+                let _ = began.send(Err(error));
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("packets".into())
+        .spawn(run)?;
+    begun.recv().map_err(std::io::Error::other)?
+}
+
 /// Receives packets for ever.
-pub(crate) async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
+async fn receive(shared: Arc<Shared>, socket: UdpSocket) {
     let mut buffer = [0; PACKET_MAX];
     let mut out = Vec::with_capacity(PACKET_MAX);
     loop {
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -39,6 +39,7 @@
 mod flow;
 mod follow;
 mod gateway;
+mod gateway_checks;
 mod gateway_packets;
 mod gateway_settings;
 mod guard;
@@ -88,7 +89,8 @@
 
 pub use event::{Action, Counts, End, Event, Hop, Mark, Packet, PacketId, ReqId, Request};
 pub use explain::{explain, Explanation};
-pub use gateway::{Adapter, Check, CheckTarget, Codec, Gateway, OpenStore, Signals};
+pub use gateway::{Adapter, Codec, Gateway, OpenStore, Signals};
+pub use gateway_checks::{Check, CheckTarget};
 pub use gateway_settings::GatewaySettings;
 pub use key::{Issued, Key};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -242,7 +242,7 @@
         let seeds: Vec<Address> = (0..3).map(|s| address(s * step)).collect();
         let at = own.peer;
         let seed = self.rng.random();
-        let control = Control::spawn(own, &seeds, ports(&self.world, i, seed));
+        let control = Control::spawn(own, true, &seeds, ports(&self.world, i, seed));
         lock(&self.world.known).insert(at, (i, control.known()));
         self.vms[i] = Some(control);
     }
