Model: each change is checked at its own bound; the network apart from the fleet

Cause, by reading: a removal whose bound was longer held up the check of the changes after it, so the oracle was laxer than it said. Change: each change is checked at its own time.

--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -5,21 +5,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use burdocklever::{
-    Call, Code, Control, Entry, Feed, Known, Ms, News, Ports, Question, Reply, Time,
-};
+use burdocklever::{Control, Feed, Known};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 use wire::{
     Address, Body, DomainId, DomainState, Host, HostId, Incarnation, Member, Object, ObjectKey,
     Pool, Route, Share, State, Version, Vm, VmId,
 };
 
-use crate::store::{self, Store};
+use crate::network::ports;
+use crate::store::Store;
 
-/// Trip between two VMs.
-const TRIP: Duration = Duration::from_micros(600);
 /// Time after a disruption during which a VM's view may be late.
 const TOUCH: Duration = Duration::from_millis(5000);
 
@@ -58,16 +55,16 @@
 
 /// State of one VM as the network sees it.
 #[derive(Debug, Clone, Copy, Default)]
-struct Line {
-    up: bool,
+pub(crate) struct Line {
+    pub(crate) up: bool,
     /// No path to the store.
-    no_store: bool,
+    pub(crate) no_store: bool,
     /// Packets of its own reach no peer.
-    mute: bool,
+    pub(crate) mute: bool,
     /// Packets of peers do not reach it.
-    deaf: bool,
+    pub(crate) deaf: bool,
     /// Last moment at which it was not in touch.
-    disturbed: Option<Instant>,
+    pub(crate) disturbed: Option<Instant>,
 }
 
 /// What a VM cost.
@@ -88,20 +85,20 @@
     object: Object,
 }
 
-struct World {
-    begun: Instant,
-    store: Mutex<Store>,
-    lines: Mutex<Vec<Line>>,
-    costs: Mutex<Vec<Cost>>,
-    known: Mutex<HashMap<Address, (usize, Arc<Known>)>>,
+pub(crate) struct World {
+    pub(crate) begun: Instant,
+    pub(crate) store: Mutex<Store>,
+    pub(crate) lines: Mutex<Vec<Line>>,
+    pub(crate) costs: Mutex<Vec<Cost>>,
+    pub(crate) known: Mutex<HashMap<Address, (usize, Arc<Known>)>>,
     /// What each VM was told of each object.
-    seen: Mutex<Vec<HashMap<ObjectKey, Version>>>,
-    events: Mutex<u64>,
-    broken: Mutex<Vec<String>>,
-    flaw: Flaw,
+    pub(crate) seen: Mutex<Vec<HashMap<ObjectKey, Version>>>,
+    pub(crate) events: Mutex<u64>,
+    pub(crate) broken: Mutex<Vec<String>>,
+    pub(crate) flaw: Flaw,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -111,8 +108,8 @@
     plan: Plan,
     vms: Vec<Option<Control>>,
     changes: Vec<Change>,
-    /// Changes that have been checked.
-    checked: usize,
+    /// Changes whose bound has not passed yet.
+    pending: Vec<usize>,
     pub(crate) rng: ChaCha8Rng,
     next_host: u64,
     hosts: Vec<u64>,
@@ -208,7 +205,7 @@
             plan,
             vms: (0..count).map(|_| None).collect(),
             changes: Vec::new(),
-            checked: 0,
+            pending: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_host: plan.targets,
             hosts: (1..=plan.targets).collect(),
@@ -326,6 +323,7 @@
             }
         };
         let object = lock(&self.world.store).put(key, body);
+        self.pending.push(self.changes.len());
         self.changes.push(Change {
             at: Instant::now(),
             object,
@@ -349,41 +347,49 @@
             line.up && !line.no_store && !line.mute && !line.deaf && long
         };
         let lines = lock(&self.world.lines).clone();
-        while let Some(change) = self.changes.get(self.checked) {
-            let key = &change.object.key;
-            // A reader of the store that was cut off cannot tell whether the store
-            // was away for all, and gives targets their time to come back. If it is
-            // cut off again meanwhile, its peers turn to another one only then. No
-            // packet reaches a target whose entry is gone, so no bound is broken.
-            let cut = lines.iter().filter_map(|line| line.disturbed);
-            let cut = cut.max().is_some_and(|at| now - at < TOUCH + GRACE);
+        // A reader of the store that was cut off cannot tell whether the store
+        // was away for all, and gives targets their time to come back. If it is
+        // cut off again meanwhile, its peers turn to another one only then. No
+        // packet reaches a target whose entry is gone, so no bound is broken.
+        let cut = lines.iter().filter_map(|line| line.disturbed).max();
+        let cut = cut.is_some_and(|at| now - at < TOUCH + GRACE);
+        let is_due = |change: &Change| {
             let grace = cut && change.object.body == Body::Removed;
-            if now - change.at < bound(key) + if grace { GRACE } else { Duration::ZERO } {
-                return;
-            }
-            self.checked += 1;
+            let more = if grace { GRACE } else { Duration::ZERO };
+            now - change.at >= bound(&change.object.key) + more
+        };
+        let pending = std::mem::take(&mut self.pending);
+        let (due, rest): (Vec<usize>, Vec<usize>) = pending
+            .into_iter()
+            .partition(|at| is_due(&self.changes[*at]));
+        self.pending = rest;
+        for at in due {
+            let change = &self.changes[at];
             for (i, vm) in self.vms.iter().enumerate() {
                 let Some(vm) = vm.as_ref().filter(|_| calm(&lines[i])) else {
                     continue;
                 };
                 let known = vm.known();
-                let book = known.book();
-                let believed = book.catalogue().get(key);
-                let believed = believed.and_then(|o| as_believed(&o.body));
-                // An older version that says the same is as good, and so is what a
-                // later change made of it.
-                let later = self.changes[self.checked - 1..].iter();
-                let mut states = later.filter(|c| c.object.key == *key);
-                let told = book.catalogue().version(key) >= change.object.version
-                    || states.any(|c| as_believed(&c.object.body) == believed);
-                drop(book);
-                if !told {
+                if !self.believes(&known, at) {
                     lock(&self.world.broken).push(self.describe(i, change, &known));
                 }
             }
         }
     }
 
+    /// Whether a VM believes what a change says, or what a later one made of it. An
+    /// older version that says the same is as good.
+    fn believes(&self, known: &Known, at: usize) -> bool {
+        let key = &self.changes[at].object.key;
+        let book = known.book();
+        let believed = book.catalogue().get(key);
+        let believed = believed.and_then(|o| as_believed(&o.body));
+        let later = self.changes[at..].iter();
+        let mut states = later.filter(|c| c.object.key == *key);
+        book.catalogue().version(key) >= self.changes[at].object.version
+            || states.any(|c| as_believed(&c.object.body) == believed)
+    }
+
     /// A VM that does not know a change in time.
     fn describe(&self, i: usize, change: &Change, known: &Known) -> String {
         let ms = |at: Instant| (at - self.world.begun).as_millis();
@@ -450,108 +456,3 @@
     };
     Some(body).filter(|b| **b != Body::Removed && **b != absent)
 }
-
-/// Connections of VM `i` to the simulated world.
-fn ports(world: &Arc<World>, i: usize, seed: u64) -> Ports {
-    let (reading, writing, asking) = (world.clone(), world.clone(), world.clone());
-    let (clock, telling) = (world.clone(), world.clone());
-    let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
-    Ports {
-        store: burdocklever::Store {
-            read: Box::new(move |feed, ask, limit| {
-                let world = reading.clone();
-                Box::pin(async move {
-                    lock(&world.costs)[i].calls += 1;
-                    let reaches = || !lock(&world.lines)[i].no_store;
-                    store::read(&world.store, reaches, feed, ask, limit).await
-                })
-            }),
-            write: Box::new(move |change, limit| {
-                let world = writing.clone();
-                Box::pin(async move { write(&world, i, change, limit).await })
-            }),
-        },
-        ask: Box::new(move |to, question, limit| ask(asking.clone(), i, to, question, limit)),
-        clock: Box::new(move || Time(clock.begun.elapsed().as_millis() as u64)),
-        chance: Box::new(move || lock(&rng).random()),
-        tell: Box::new(move |news| hear(&telling, i, news)),
-    }
-}
-
-async fn write(world: &World, i: usize, change: Entry, limit: Ms) -> store::Result<()> {
-    lock(&world.costs)[i].calls += 1;
-    if lock(&world.lines)[i].no_store || lock(&world.store).down {
-        sleep(Duration::from_millis(limit.0)).await;
-        return Err(store::error(Code::NoPlatform));
-    }
-    sleep(Duration::from_millis(4)).await;
-    let (vm, body) = match change {
-        Entry::Write(vm) => (vm.member.vm, Body::Vm(vm)),
-        Entry::Remove(vm, _) => (vm, Body::Removed),
-    };
-    lock(&world.store).put(ObjectKey::new("vm", vm), body);
-    Ok(())
-}
-
-/// A question's way to a peer and back.
-fn ask(world: Arc<World>, i: usize, to: Address, question: Question, limit: Ms) -> Call<Reply> {
-    Box::pin(async move {
-        let passes = |from: usize, to: usize| {
-            let lines = lock(&world.lines);
-            lines[from].up && lines[to].up && !lines[from].mute && !lines[to].deaf
-        };
-        let lost = std::future::pending::<()>;
-        let call = async {
-            sleep(TRIP).await;
-            let peer = lock(&world.known).get(&to).cloned();
-            let Some((n, known)) = peer.filter(|(n, _)| passes(i, *n)) else {
-                lost().await;
-                unreachable!("a lost question is never answered");
-            };
-            let body = known.answer(&question).await?;
-            sleep(TRIP).await;
-            if !passes(n, i) {
-                lost().await;
-            }
-            {
-                let mut costs = lock(&world.costs);
-                costs[n].told += body.len() as u64;
-                costs[i].heard += body.len() as u64;
-            }
-            let reply = rmp_serde::from_slice(&body);
-            reply
-                .map_err(|_| store::error(Code::NoPeer))
-                .map(|r| flawed(r, world.flaw))
-        };
-        let limit = Duration::from_millis(limit.0);
-        timeout(limit, call)
-            .await
-            .unwrap_or_else(|_| Err(store::error(Code::NoPeer)))
-    })
-}
-
-fn flawed(mut reply: Reply, flaw: Flaw) -> Reply {
-    let update = &mut reply.update;
-    match flaw {
-        Flaw::None => {}
-        Flaw::Ageless => update.age = update.age.map(|age| age.map(|_| Ms(0))),
-        Flaw::Immortal => update.objects.retain(|o| o.body != Body::Removed),
-    }
-    reply
-}
-
-/// What a VM learns never takes it back.
-fn hear(world: &World, i: usize, news: News<'_>) {
-    let News::Changed(objects, _) = news else {
-        return;
-    };
-    *lock(&world.events) += objects.len() as u64;
-    let mut seen = lock(&world.seen);
-    for object in objects {
-        let before = seen[i].insert(object.key.clone(), object.version);
-        if before.is_some_and(|before| before >= object.version) {
-            let back = format!("vm {i} went back at {}", object.key);
-            lock(&world.broken).push(back);
-        }
-    }
-}
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod fleet;
 mod growth;
+mod network;
 mod relay;
 mod store;
 
--- /dev/null
+++ b/model/src/network.rs
@@ -0,0 +1,121 @@
+//! The network between simulated VMs, and from them to the store.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use burdocklever::{Call, Code, Entry, Ms, News, Ports, Question, Reply, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{sleep, timeout};
+use wire::{Address, Body, ObjectKey};
+
+use crate::fleet::{lock, Flaw, World};
+use crate::store;
+
+/// Trip between two VMs.
+const TRIP: Duration = Duration::from_micros(600);
+
+/// Connections of VM `i` to the simulated world.
+pub(crate) fn ports(world: &Arc<World>, i: usize, seed: u64) -> Ports {
+    let (reading, writing, asking) = (world.clone(), world.clone(), world.clone());
+    let (clock, telling) = (world.clone(), world.clone());
+    let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
+    Ports {
+        store: burdocklever::Store {
+            read: Box::new(move |feed, ask, limit| {
+                let world = reading.clone();
+                Box::pin(async move {
+                    lock(&world.costs)[i].calls += 1;
+                    let reaches = || !lock(&world.lines)[i].no_store;
+                    store::read(&world.store, reaches, feed, ask, limit).await
+                })
+            }),
+            write: Box::new(move |change, limit| {
+                let world = writing.clone();
+                Box::pin(async move { write(&world, i, change, limit).await })
+            }),
+        },
+        ask: Box::new(move |to, question, limit| ask(asking.clone(), i, to, question, limit)),
+        clock: Box::new(move || Time(clock.begun.elapsed().as_millis() as u64)),
+        chance: Box::new(move || lock(&rng).random()),
+        tell: Box::new(move |news| hear(&telling, i, news)),
+    }
+}
+
+async fn write(world: &World, i: usize, change: Entry, limit: Ms) -> store::Result<()> {
+    lock(&world.costs)[i].calls += 1;
+    if lock(&world.lines)[i].no_store || lock(&world.store).down {
+        sleep(Duration::from_millis(limit.0)).await;
+        return Err(store::error(Code::NoPlatform));
+    }
+    sleep(Duration::from_millis(4)).await;
+    let (vm, body) = match change {
+        Entry::Write(vm) => (vm.member.vm, Body::Vm(vm)),
+        Entry::Remove(vm, _) => (vm, Body::Removed),
+    };
+    lock(&world.store).put(ObjectKey::new("vm", vm), body);
+    Ok(())
+}
+
+/// A question's way to a peer and back.
+fn ask(world: Arc<World>, i: usize, to: Address, question: Question, limit: Ms) -> Call<Reply> {
+    Box::pin(async move {
+        let passes = |from: usize, to: usize| {
+            let lines = lock(&world.lines);
+            lines[from].up && lines[to].up && !lines[from].mute && !lines[to].deaf
+        };
+        let lost = std::future::pending::<()>;
+        let call = async {
+            sleep(TRIP).await;
+            let peer = lock(&world.known).get(&to).cloned();
+            let Some((n, known)) = peer.filter(|(n, _)| passes(i, *n)) else {
+                lost().await;
+                unreachable!("a lost question is never answered");
+            };
+            let body = known.answer(&question).await?;
+            sleep(TRIP).await;
+            if !passes(n, i) {
+                lost().await;
+            }
+            {
+                let mut costs = lock(&world.costs);
+                costs[n].told += body.len() as u64;
+                costs[i].heard += body.len() as u64;
+            }
+            let reply = rmp_serde::from_slice(&body);
+            reply
+                .map_err(|_| store::error(Code::NoPeer))
+                .map(|r| flawed(r, world.flaw))
+        };
+        let limit = Duration::from_millis(limit.0);
+        timeout(limit, call)
+            .await
+            .unwrap_or_else(|_| Err(store::error(Code::NoPeer)))
+    })
+}
+
+fn flawed(mut reply: Reply, flaw: Flaw) -> Reply {
+    let update = &mut reply.update;
+    match flaw {
+        Flaw::None => {}
+        Flaw::Ageless => update.age = update.age.map(|age| age.map(|_| Ms(0))),
+        Flaw::Immortal => update.objects.retain(|o| o.body != Body::Removed),
+    }
+    reply
+}
+
+/// What a VM learns never takes it back.
+fn hear(world: &World, i: usize, news: News<'_>) {
+    let News::Changed(objects, _) = news else {
+        return;
+    };
+    *lock(&world.events) += objects.len() as u64;
+    let mut seen = lock(&world.seen);
+    for object in objects {
+        let before = seen[i].insert(object.key.clone(), object.version);
+        if before.is_some_and(|before| before >= object.version) {
+            let back = format!("vm {i} went back at {}", object.key);
+            lock(&world.broken).push(back);
+        }
+    }
+}
