--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -428,16 +428,27 @@
             flow.stage = Stage::Close;
             flow.asked = None;
         }
-        let listed = target.left.is_none();
-        let lost = !listed || target.signals.is_given_up();
-        let strange = repeats || (segment.len > 0 && lost);
-        if !strange || !is_waiting(flow, &target.signals) {
+        let lost = target.left.is_some() || target.signals.is_given_up();
+        if repeats || (segment.len > 0 && lost) {
+            self.doubt(key, index);
+        }
+    }
+
+    /// Has a target checked that seems not to answer a flow's request, or gives it
+    /// up if it was found unreachable just now.
+    fn doubt(&mut self, key: FlowKey, index: usize) {
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        let target = &mut self.table.targets[index];
+        let (signals, listed) = (&mut target.signals, target.left.is_none());
+        if !is_waiting(flow, signals) {
             return;
         }
-        let dead = target.signals.is_unreachable(now) && is_dead(flow, &target.signals, listed);
-        if dead && !target.signals.is_given_up() {
+        let dead = signals.is_unreachable(self.now) && is_dead(flow, signals, listed);
+        if dead && !signals.is_given_up() {
             self.give_up(index, Finding::Unreachable, Some(key));
-        } else if target.signals.take_check(now) {
+        } else if signals.take_check(self.now) {
             let (host, address) = (target.host, target.address);
             if self.table.is_replaced(index) {
                 self.give_up(index, Finding::Replaced, Some(key));
