--- a/burdocklever/src/signal.rs
+++ b/burdocklever/src/signal.rs
@@ -18,6 +18,8 @@
 const PROBE: Ms = Ms(4000);
 /// Pause between two checks of one target.
 const CHECK_PAUSE: Ms = Ms(900);
+/// Longest time that a check runs.
+const CHECK_RUNS: Ms = Ms(400);
 /// Time for which a check holds that found a target unreachable. A caller's second
 /// repeat comes 400 ms after the first, which asks for the check.
 const UNREACHABLE: Ms = Ms(1000);
@@ -43,6 +45,8 @@
     heard: Option<Time>,
     /// Last check that began.
     checked: Option<Time>,
+    /// Last check that ended.
+    judged: Option<Time>,
     /// Last check that found it alive.
     vouched: Option<Time>,
     /// Last check that could not reach it.
@@ -86,6 +90,18 @@
         due
     }
 
+    /// Notes that a check has ended, whatever it found.
+    pub(crate) fn judged(&mut self, now: Time) {
+        self.judged = Some(now);
+    }
+
+    /// Whether a check is under way: a target that was given up long ago may be
+    /// back, so nothing is held against it meanwhile.
+    pub(crate) fn is_checking(&self, now: Time) -> bool {
+        let runs = |at: Time| now.since(at) <= CHECK_RUNS && self.judged.is_none_or(|j| j < at);
+        self.checked.is_some_and(runs)
+    }
+
     /// Notes a check that found the target alive. It may still be too busy to
     /// answer, so it stays suspect.
     pub(crate) fn vouch(&mut self, now: Time) {
--- a/burdocklever/src/steer.rs
+++ b/burdocklever/src/steer.rs
@@ -226,6 +226,7 @@
             return;
         };
         let target = &mut self.table.targets[index];
+        target.signals.judged(now);
         match finding {
             Finding::Listens => target.signals.vouch(now),
             Finding::Refuses | Finding::Replaced => self.give_up(index, finding, None),
@@ -387,7 +388,8 @@
             return Verdict::Drop(Code::FlowEnded);
         }
         self.watch(segment, index);
-        if segment.len > 0 && self.table.targets[index].signals.is_given_up() {
+        let signals = &self.table.targets[index].signals;
+        if segment.len > 0 && signals.is_given_up() && !signals.is_checking(self.now) {
             let key = segment.key();
             let waits = self.flows.get(&key).is_some_and(|f| f.repeats > 0);
             if !(waits && self.is_once(segment.service)) {
@@ -451,6 +453,7 @@
         } else if signals.take_check(self.now) {
             let (host, address) = (target.host, target.address);
             if self.table.is_replaced(index) {
+                self.table.targets[index].signals.judged(self.now);
                 self.give_up(index, Finding::Replaced, Some(key));
             } else {
                 self.doubts.push(Doubt { host, address });
