--- a/bench/src/token.rs
+++ b/bench/src/token.rs
@@ -28,6 +28,7 @@
     let config = ForwarderConfig {
         evacuation_time: Ms(4000),
         propagation_delay: Ms(1000),
+        max_route_age: Ms(2000),
     };
     let mut forwarder = Forwarder::new(domain(0), config);
     let service: wire::ServiceId = crate::fleet::service_id();
--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -90,12 +90,6 @@
     Throttled = 313, "platform refuses calls for now";
     /// Another entry VM does not answer.
     NoPeer = 320, "peer not reached";
-    /// The update of another entry VM exceeds its byte budget for peers.
-    #[serde(rename = "TooMuch")]
-    UpdateTooLarge = 321, "peer has too much to tell";
-    /// Another entry VM answers, but its own replica is stale.
-    #[serde(rename = "NotFresh")]
-    StaleReplica = 322, "peer knows nothing fresh";
 }
 
 impl Code {
--- /dev/null
+++ b/burdocklever/src/control_state.rs
@@ -0,0 +1,497 @@
+//! What the tasks of a VM's control plane share: the replica, the membership and the
+//! answers to peers.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{watch, Notify};
+use wire::{Address, Body, Incarnation, Object, Version, VmId};
+
+use crate::code::Code;
+use crate::freshness::Bounds;
+use crate::membership::{Condition, MemberNews, Membership, Peer};
+use crate::peer_selection::{position, Position};
+use crate::platform_client::{Error, Result};
+use crate::replica::{Replica, ReplicaUpdate};
+use crate::store::{CallFuture, Feed, Store};
+use crate::time::{Ms, Time};
+
+/// Part of a link, as a divisor, that replies to peers may take. Packets share it.
+const REPLY_LINK_DIVISOR: u64 = 8;
+
+/// Request of one VM for what another VM knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CatalogueRequest {
+    /// Revision up to which the requester knows each feed.
+    pub from: [Version; Feed::COUNT],
+    /// Longest time to wait for a change.
+    pub wait: Ms,
+    /// Cursor of the last reply received from this VM, if any.
+    pub cursor: Option<Cursor>,
+    /// The requester, as it knows itself.
+    pub sender: MemberNews,
+    /// VMs that the requester has heard of since its last request to this VM.
+    pub members: Vec<MemberNews>,
+    /// Whether the requester wants no members in return.
+    pub brief: bool,
+}
+
+/// Identifies the state of a VM at the time of a reply. A requester that returns the
+/// current cursor lacks nothing, so its request can wait for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    #[serde(rename = "life")]
+    incarnation: Incarnation,
+    progress: Progress,
+    /// Change number of the membership.
+    members: u64,
+}
+
+/// Reply to a [`CatalogueRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CatalogueReply {
+    /// Changes that the requester lacks; none if they exceed the byte budget for
+    /// peers, or if this VM has no catalogue yet.
+    pub update: Option<ReplicaUpdate>,
+    /// The VM that answers, as it knows itself.
+    pub sender: MemberNews,
+    /// VMs that the requester may not have heard of.
+    pub members: Vec<MemberNews>,
+    /// Cursor for the next request.
+    pub cursor: Cursor,
+}
+
+/// Sends a request to the peer at an address, with a timeout.
+pub type QueryPeer =
+    dyn Fn(Address, CatalogueRequest, Ms) -> CallFuture<CatalogueReply> + Send + Sync;
+
+/// Event passed to [`Environment::on_event`].
+#[derive(Debug)]
+pub enum ControlEvent<'a> {
+    /// Objects that changed, and the replica after the change.
+    Changed(&'a [Object], &'a Replica),
+    /// Number of VMs in this VM's failure domain.
+    DomainSize(usize),
+    /// A call to the store failed.
+    StoreFailed(Feed),
+}
+
+/// I/O, clock and random numbers of a control plane.
+pub struct Environment {
+    /// The platform's store.
+    pub store: Store,
+    /// Queries another VM.
+    pub query_peer: Box<QueryPeer>,
+    /// This VM's monotonic clock. It must start high enough that instants before the
+    /// VM's start can be expressed: peers tell the age of what they know.
+    pub clock: Box<dyn Fn() -> Time + Send + Sync>,
+    /// Random numbers from 0 to 1, which spread the calls of VMs over time.
+    pub random: Box<dyn Fn() -> f64 + Send + Sync>,
+    /// Receives changes and store failures.
+    pub on_event: Box<dyn Fn(ControlEvent<'_>) + Send + Sync>,
+}
+
+/// Progress of a VM's replica, which wakes long polls of peers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Progress {
+    /// Number of changes.
+    changes: u64,
+    /// Time up to which all feeds were last confirmed by the store.
+    confirmed: Time,
+}
+
+/// State shared by the tasks of a control plane.
+pub struct ControlState {
+    pub(crate) bounds: Bounds,
+    replica: Mutex<Replica>,
+    members: Mutex<Membership>,
+    progress: watch::Sender<Progress>,
+    /// Whether this VM reads the store itself.
+    reads_store: watch::Sender<bool>,
+    /// Wakes the task that applies deferred removals.
+    pub(crate) removal_deferred: Notify,
+    /// Wakes a VM without a catalogue when it hears of a peer.
+    pub(crate) peer_learned: Notify,
+    /// Whether no peer answered when this VM last asked several.
+    isolated: AtomicBool,
+    /// Feeds with a failed store call since the last call of `store_recovered`.
+    failing: Mutex<BTreeSet<Feed>>,
+    /// Last answer of a peer: when, and how old its catalogue was in percent of the
+    /// maximum.
+    peer_answer: Mutex<Option<(Time, u64)>>,
+    reply_budget: Mutex<ByteBudget>,
+    pub(crate) query_peer: Box<QueryPeer>,
+    pub(crate) clock: Box<dyn Fn() -> Time + Send + Sync>,
+    pub(crate) random: Box<dyn Fn() -> f64 + Send + Sync>,
+    on_event: Box<dyn Fn(ControlEvent<'_>) + Send + Sync>,
+}
+
+/// Token bucket over bytes of replies, with a burst of one second.
+#[derive(Debug)]
+struct ByteBudget {
+    rate: u64,
+    bytes: u64,
+    refilled_at: Time,
+}
+
+impl ByteBudget {
+    /// Takes `bytes` if that many are available.
+    fn take(&mut self, now: Time, bytes: u64) -> bool {
+        let elapsed = now.since(self.refilled_at);
+        let refill = elapsed.0.saturating_mul(self.rate) / 1000;
+        self.bytes = self.bytes.saturating_add(refill).min(self.rate);
+        self.refilled_at = now;
+        let available = bytes <= self.bytes;
+        if available {
+            self.bytes -= bytes;
+        }
+        available
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic in one task must not stop the others, so poisoning is ignored.
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl ControlState {
+    /// State of VM `own` without a catalogue. Also returns the store.
+    pub(crate) fn new(own: Peer, bounds: Bounds, environment: Environment) -> (Self, Store) {
+        let rate = own.link.bytes_per_s() / REPLY_LINK_DIVISOR;
+        let state = ControlState {
+            bounds,
+            replica: Mutex::new(Replica::new(bounds)),
+            members: Mutex::new(Membership::new(own)),
+            progress: watch::Sender::new(Progress::default()),
+            reads_store: watch::Sender::new(false),
+            removal_deferred: Notify::new(),
+            peer_learned: Notify::new(),
+            isolated: AtomicBool::new(false),
+            failing: Mutex::default(),
+            peer_answer: Mutex::default(),
+            reply_budget: Mutex::new(ByteBudget {
+                rate,
+                bytes: rate,
+                refilled_at: (environment.clock)(),
+            }),
+            query_peer: environment.query_peer,
+            clock: environment.clock,
+            random: environment.random,
+            on_event: environment.on_event,
+        };
+        (state, environment.store)
+    }
+
+    /// Locks the replica.
+    pub fn replica(&self) -> MutexGuard<'_, Replica> {
+        lock(&self.replica)
+    }
+
+    /// Locks the membership. Not to be held while the replica is locked.
+    pub fn members(&self) -> MutexGuard<'_, Membership> {
+        lock(&self.members)
+    }
+
+    /// Calls `f` with the current time and the locked replica.
+    pub(crate) fn with_replica<T>(&self, f: impl FnOnce(Time, &mut Replica) -> T) -> T {
+        let mut replica = self.replica();
+        f((self.clock)(), &mut replica)
+    }
+
+    /// This VM's place among the peers that it can use.
+    pub fn position(&self) -> Position {
+        let now = (self.clock)();
+        let members = self.members();
+        let usable: Vec<Peer> = members.usable(now).cloned().collect();
+        position(members.own(), &usable)
+    }
+
+    /// Number of feeds with a failed store call and no reported recovery since.
+    pub fn failing_feeds(&self) -> usize {
+        lock(&self.failing).len()
+    }
+
+    /// Whether this VM reads the store itself.
+    pub fn reads_store(&self) -> bool {
+        *self.reads_store.borrow()
+    }
+
+    /// Notifies of changes to [`ControlState::reads_store`].
+    pub(crate) fn subscribe_reads_store(&self) -> watch::Receiver<bool> {
+        self.reads_store.subscribe()
+    }
+
+    /// Age of the replica in percent of the maximum; the highest value of all feeds.
+    pub fn age_percent(&self) -> u64 {
+        self.with_replica(|now, replica| replica.age_percent(now))
+    }
+
+    /// Age of the catalogue in the last answer of a peer within `ttl`, in percent of
+    /// the maximum.
+    pub(crate) fn peer_age_percent(&self, ttl: Ms) -> u64 {
+        let now = (self.clock)();
+        let answer = *lock(&self.peer_answer);
+        let recent = answer.filter(|(at, _)| now.since(*at) < ttl);
+        recent.map_or(u64::MAX, |(_, percent)| percent)
+    }
+
+    /// Whether no peer answered when this VM last asked several.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.isolated.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_isolated(&self, isolated: bool) {
+        self.isolated.store(isolated, Ordering::Relaxed);
+    }
+
+    /// Returns when this VM has a catalogue.
+    pub(crate) async fn has_catalogue(&self) {
+        let mut progress = self.progress.subscribe();
+        // Cannot fail: the sender is part of this state.
+        let _ = progress.wait_for(|p| p.changes > 0).await;
+    }
+
+    /// Answers a peer with an encoded [`CatalogueReply`]. Waits for a change if the
+    /// peer lacks nothing, and for a catalogue if this VM has none.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoPeer`] if the reply cannot be encoded.
+    pub async fn answer(&self, request: &CatalogueRequest) -> Result<Vec<u8>> {
+        let sender = request.sender.peer.member.vm;
+        self.merge_members(sender, &request.members, Some(&request.sender));
+        self.wait_for_news(request).await;
+        let (members, change) = self.members_for(request);
+        let own = self.members().own_news();
+        let progress = *self.progress.borrow();
+        let mut reply = CatalogueReply {
+            update: self.with_replica(|now, replica| {
+                replica
+                    .is_complete()
+                    .then(|| replica.update_since(now, &request.from))
+            }),
+            members,
+            cursor: Cursor {
+                incarnation: own.peer.member.incarnation,
+                progress,
+                members: change,
+            },
+            sender: own,
+        };
+        let body = rmp_serde::to_vec(&reply).map_err(peer_error)?;
+        if lock(&self.reply_budget).take((self.clock)(), body.len() as u64) {
+            return Ok(body);
+        }
+        log::info!(target: "peer", vm = sender.0, bytes = body.len();
+            "reply exceeds the byte budget; the peer gets only the members");
+        reply.update = None;
+        rmp_serde::to_vec(&reply).map_err(peer_error)
+    }
+
+    async fn wait_for_news(&self, request: &CatalogueRequest) {
+        let incarnation = self.members().own().member.incarnation;
+        let known = request.cursor.filter(|c| c.incarnation == incarnation);
+        let step = Ms(self.bounds.watch_interval().0 / 2);
+        let has_news = |progress: &Progress| match known.map(|c| c.progress) {
+            _ if progress.changes == 0 => false,
+            Some(seen) => {
+                seen.changes != progress.changes || progress.confirmed.since(seen.confirmed) >= step
+            }
+            None => true,
+        };
+        let wait = Duration::from_millis(request.wait.0.min(self.bounds.long_poll().0));
+        let mut progress = self.progress.subscribe();
+        // A timeout is answered too, with an empty update.
+        let _ = tokio::time::timeout(wait, progress.wait_for(has_news)).await;
+    }
+
+    /// Members to tell a requester, and the change number for its cursor.
+    fn members_for(&self, request: &CatalogueRequest) -> (Vec<MemberNews>, u64) {
+        let members = self.members();
+        let incarnation = members.own().member.incarnation;
+        let known = request.cursor.filter(|c| c.incarnation == incarnation);
+        let sender = request.sender.peer.member.vm;
+        let own = members.own().member.vm;
+        let mut news = match request.brief {
+            true => Vec::new(),
+            false => members.news_since(known.map_or(0, |c| c.members), Some(sender)),
+        };
+        news.retain(|n| n.peer.member.vm != sender && n.peer.member.vm != own);
+        news.extend(members.correction(&request.sender));
+        (news, members.changes())
+    }
+
+    /// Merges what a peer told of itself and of others.
+    pub(crate) fn merge_members(
+        &self,
+        source: VmId,
+        news: &[MemberNews],
+        sender: Option<&MemberNews>,
+    ) {
+        let now = (self.clock)();
+        let mut members = self.members();
+        let mut changed = false;
+        for one in news.iter().chain(sender) {
+            changed |= members.merge(now, Some(source), one.clone());
+        }
+        members.record_contact(now, source);
+        self.report_members(members, changed);
+    }
+
+    /// Merges peers that the store lists as contact points. They may be gone.
+    pub(crate) fn merge_contacts(&self, peers: Vec<Peer>) {
+        let now = (self.clock)();
+        let mut members = self.members();
+        let mut changed = false;
+        for peer in peers {
+            let news = MemberNews {
+                peer,
+                refutations: 0,
+                condition: Condition::Alive,
+            };
+            changed |= members.merge(now, None, news);
+        }
+        self.report_members(members, changed);
+    }
+
+    pub(crate) fn report_members(&self, members: MutexGuard<'_, Membership>, changed: bool) {
+        if !changed {
+            return;
+        }
+        let domain = members.own().domain.clone();
+        let count = members.live_in(&domain).count();
+        drop(members);
+        self.peer_learned.notify_one();
+        (self.on_event)(ControlEvent::DomainSize(count));
+    }
+
+    /// Applies a peer's reply. Returns whether it had a catalogue.
+    pub(crate) fn apply_reply(&self, reply: CatalogueReply) -> bool {
+        let vm = reply.sender.peer.member.vm;
+        self.merge_members(vm, &reply.members, Some(&reply.sender));
+        let Some(update) = reply.update else {
+            return false;
+        };
+        let percent = update.age_percent(&self.bounds);
+        *lock(&self.peer_answer) = Some(((self.clock)(), percent));
+        let changed = self.with_replica(|now, replica| replica.apply_update(now, update));
+        self.publish(&changed);
+        true
+    }
+
+    /// Reports changed objects to `on_event`, and wakes long polls of peers if there
+    /// are any or the replica was confirmed.
+    pub(crate) fn publish(&self, objects: &[Object]) {
+        let replica = self.replica();
+        (self.on_event)(ControlEvent::Changed(objects, &replica));
+        if replica.next_deferred_removal().is_some() {
+            self.removal_deferred.notify_one();
+        }
+        let (complete, confirmed) = (replica.is_complete(), replica.confirmed());
+        drop(replica);
+        log_changes(objects);
+        if !complete {
+            return;
+        }
+        self.progress.send_if_modified(|progress| {
+            let changed = !objects.is_empty() || progress.changes == 0;
+            progress.changes += u64::from(changed);
+            let confirmed = confirmed.max(progress.confirmed);
+            let advanced = std::mem::replace(&mut progress.confirmed, confirmed) != confirmed;
+            changed || advanced
+        });
+    }
+
+    /// Records and reports that a call to the store failed.
+    pub(crate) fn store_failed(&self, feed: Feed, error: &Error) {
+        (self.on_event)(ControlEvent::StoreFailed(feed));
+        if lock(&self.failing).insert(feed) {
+            log::warn!(target: "store", feed = feed.to_string().as_str(),
+                error = error.to_string().as_str();
+                "store lost, going on with what is known");
+        }
+    }
+
+    /// Records that the store answers again.
+    pub(crate) fn store_recovered(&self, feed: Feed) {
+        if lock(&self.failing).remove(&feed) {
+            log::info!(target: "store", feed = feed.to_string().as_str(); "store regained");
+        }
+    }
+
+    /// Starts or stops reading the store.
+    pub(crate) fn set_reads_store(&self, on: bool) {
+        let changed = self
+            .reads_store
+            .send_if_modified(|reads| std::mem::replace(reads, on) != on);
+        if changed {
+            log::info!(target: "peer", direct = on; "reads the store itself");
+        }
+    }
+
+    /// Request for changes to send to `to`, with the members that changed after change
+    /// number `members`. Also returns the current change number.
+    pub(crate) fn request(
+        &self,
+        wait: Ms,
+        cursor: Option<Cursor>,
+        to: Option<VmId>,
+        members: u64,
+    ) -> (CatalogueRequest, u64) {
+        let from = self.replica().revisions();
+        let known = self.members();
+        let own = known.own().member.vm;
+        let mut news = known.news_since(members, to);
+        news.retain(|n| n.peer.member.vm != own);
+        let request = CatalogueRequest {
+            from,
+            wait,
+            cursor,
+            sender: known.own_news(),
+            members: news,
+            brief: false,
+        };
+        (request, known.changes())
+    }
+
+    /// Request that exchanges no members but this VM itself. It is answered at once.
+    pub(crate) fn brief_request(&self) -> CatalogueRequest {
+        let (request, _) = self.request(Ms(0), None, None, u64::MAX);
+        CatalogueRequest {
+            brief: true,
+            ..request
+        }
+    }
+}
+
+pub(crate) fn peer_error(error: impl std::fmt::Display) -> Error {
+    Error {
+        code: Code::NoPeer,
+        detail: error.to_string().into(),
+    }
+}
+
+/// Largest number of changes that are logged one by one; more are only counted.
+const LOGGED_CHANGES_MAX: usize = 20;
+
+fn log_changes(objects: &[Object]) {
+    if objects.len() > LOGGED_CHANGES_MAX {
+        let newest = objects.iter().map(|o| o.version.0).max();
+        log::info!(target: "catalogue", objects = objects.len(), newest = newest.unwrap_or(0);
+            "many changes");
+        return;
+    }
+    for object in objects {
+        let state = match &object.body {
+            Body::Host(host) => format!("{:?}", host.state),
+            Body::Domain { state } => format!("{state:?}"),
+            Body::Removed => "Removed".into(),
+            _ => "Set".into(),
+        };
+        log::info!(target: "catalogue", object = object.key.to_string().as_str(),
+            version = object.version.0, state = state.as_str(); "changed");
+    }
+}
--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -4,24 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch::Receiver;
-
 use crate::code::Code;
-use crate::control_plane::ControlState;
+use crate::control_state::ControlState;
 use crate::platform_client::Result;
-use crate::store::{Consistency, Feed, Page, ReadRequest, Registration, Store};
-use crate::time::Ms;
-
-/// Long-poll time of a watch. Together with `control_plane::LONG_POLL_MAX` it stays
-/// below `peer_selection::max_staleness`, so that peers of a healthy store reader
-/// never need the store.
-const fn watch_wait(feed: Feed) -> Ms {
-    match feed {
-        Feed::Routes | Feed::Hosts => Ms(1200),
-        Feed::Domains => Ms(2500),
-        Feed::Vms => Ms(6000),
-    }
-}
+use crate::store::{Consistency, Feed, Page, ReadRequest, Store};
+use crate::time::{Ms, Time};
 
 /// Timeout of a call at first, and its limit as it doubles with each failure. The
 /// store normally answers in 4 ms. A call that hangs while the store recovers, the
@@ -29,8 +16,6 @@
 /// recovery, when changes must take effect again.
 const CALL_TIMEOUT: Ms = Ms(500);
 const CALL_TIMEOUT_MAX: Ms = Ms(1000);
-/// Pause after a change, so that changes in quick succession cost one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Largest number of retries of one throttled call while a feed is listed.
 const THROTTLED_RETRIES: u32 = 50;
 /// First and longest pause after a failed call. The first is short because a VM
@@ -38,13 +23,19 @@
 const RETRY_MIN: Duration = Duration::from_millis(25);
 const RETRY_MAX: Duration = Duration::from_millis(500);
 
-/// Lists and watches `feed` whenever `enabled` is true.
-pub(crate) async fn watch_feed(
-    state: Arc<ControlState>,
-    store: Arc<Store>,
-    feed: Feed,
-    mut enabled: Receiver<bool>,
-) {
+/// Time for which a watch waits. The watches of all feeds end at multiples of
+/// `interval`, so that a VM confirms them together and peers hear of it once.
+pub(crate) fn watch_wait(now: Time, interval: Ms) -> Ms {
+    let left = interval - Ms(now.0 % interval.0.max(1));
+    match left.0 < interval.0 / 4 {
+        true => left + interval,
+        false => left,
+    }
+}
+
+/// Lists and watches `feed` while this VM reads the store.
+pub(crate) async fn watch_feed(state: Arc<ControlState>, store: Arc<Store>, feed: Feed) {
+    let mut enabled = state.subscribe_reads_store();
     let mut failed: u32 = 0;
     let mut history_available = true;
     let mut consistency = Consistency::Serializable;
@@ -58,7 +49,11 @@
             None => list(&state, &store, feed, consistency, timeout).await,
             Some(from) => {
                 // After a failure, an immediate answer shows sooner that the store is back.
-                let wait = if failed > 0 { Ms(0) } else { watch_wait(feed) };
+                let wait = if failed > 0 {
+                    Ms(0)
+                } else {
+                    watch_wait((state.clock)(), state.bounds.watch_interval())
+                };
                 let watched =
                     (store.read)(feed, ReadRequest::Watch(from, wait), wait + timeout).await;
                 watched.map(|page| vec![page])
@@ -75,7 +70,8 @@
                     changed |= apply_page(&state, feed, page, listed);
                 }
                 match changed && !listed {
-                    true => BATCH_PAUSE,
+                    // Changes in quick succession cost one call.
+                    true => Duration::from_millis(state.bounds.batch_pause().0),
                     false => Duration::ZERO,
                 }
             }
@@ -181,13 +177,3 @@
     let full = RETRY_MIN.saturating_mul(1 << failed.min(10)).min(RETRY_MAX);
     full / 2 + (full / 2).mul_f64((state.random)())
 }
-
-/// Writes or removes the registration of a VM.
-pub(crate) async fn register(store: &Store, registration: Registration) -> Result<()> {
-    (store.write)(registration, CALL_TIMEOUT).await
-}
-
-/// Pause before registration is retried.
-pub(crate) fn register_pause(state: &ControlState, failed: u32) -> Duration {
-    retry_pause(state, failed.max(4))
-}
--- a/burdocklever/src/forwarder.rs
+++ b/burdocklever/src/forwarder.rs
@@ -31,10 +31,6 @@
 /// Time after which a target that was removed from the target list is forgotten.
 /// No flow lives longer.
 const REMOVED_TARGET_TTL: Ms = Ms(120_000);
-/// Maximum age of the known routes at which an opening packet to an address
-/// without a route is reset. With older ones it is dropped, since the route may
-/// be new.
-const MAX_ROUTE_AGE: Ms = Ms(2000);
 
 /// Settings that depend on the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +40,10 @@
     pub evacuation_time: Ms,
     /// Maximum time until the target list shows what a target has written.
     pub propagation_delay: Ms,
+    /// Maximum age of the known routes at which an opening packet to an address
+    /// without a route is reset. With older ones it is dropped, since the route may
+    /// be new.
+    pub max_route_age: Ms,
 }
 
 /// The placement of a new flow, for the log.
@@ -288,7 +288,7 @@
     }
 
     fn reject_unknown_route(&self, segment: &Segment) -> Verdict {
-        let fresh = |at: Time| self.now.since(at) < MAX_ROUTE_AGE;
+        let fresh = |at: Time| self.now.since(at) < self.config.max_route_age;
         let code = match self.routes_confirmed {
             None => Code::NotReady,
             Some(_) => Code::NoService,
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -15,15 +15,19 @@
 use axum::Router;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
-use wire::{Address, DomainId, HostId, Lifecycle, Member, Object, Vm, VmId};
+use wire::{Address, HostId, Member, Object, VmId};
 
-use crate::control_plane::{ControlEvent, ControlPlane, ControlState, Environment};
+use crate::control_plane::ControlPlane;
+use crate::control_state::{ControlEvent, ControlState, Environment};
 use crate::daemon::{bind_error, new_incarnation, Error, Result};
 use crate::exchange;
 use crate::forwarder::{CheckRequest, Forwarder, ForwarderConfig};
 use crate::gateway_checks::{check_targets, CheckTarget, CHECK_QUEUE_LEN};
-use crate::gateway_packets::spawn_receiver;
+use crate::gateway_packets::{expire_held_packets, release_held_packets, spawn_receiver};
 use crate::gateway_settings::GatewaySettings;
+use crate::held_packets::HeldPackets;
+use crate::join::Start;
+use crate::membership::Peer;
 use crate::metrics::{Metrics, Sample};
 use crate::platform_client::{self, jitter};
 use crate::replica::Replica;
@@ -45,6 +49,11 @@
 /// Minimum duration of a stop. The fabric probes readiness twice per second and
 /// acts on the second failed probe.
 const MIN_STOP_TIME: Ms = Ms(1500);
+/// Reading of the gateway's clock at its start, so that instants before it can be
+/// expressed: peers tell how old their knowledge is. 11 days.
+const CLOCK_START: Ms = Ms(1_000_000_000);
+/// Time allowed to tell a peer that this VM stops.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Percentage of the time until a stopping VM is killed after which it stops
 /// anyway.
 const STOP_PERCENT: u64 = 80;
@@ -82,6 +91,8 @@
     pub(crate) flows_opened: AtomicU64,
     pub(crate) resets: AtomicU64,
     pub(crate) dropped: AtomicU64,
+    /// Packets that waited for the catalogue.
+    pub(crate) held: AtomicU64,
     pub(crate) malformed: AtomicU64,
     pub(crate) unsent: AtomicU64,
     pub(crate) store_errors: AtomicU64,
@@ -97,10 +108,12 @@
     pub(crate) socket: std::net::UdpSocket,
     /// Address that packets are received on.
     pub(crate) address: Address,
-    pub(crate) domain: DomainId,
     pub(crate) codec: Codec,
     pub(crate) started: Instant,
     pub(crate) stopping: AtomicBool,
+    /// Whether the catalogue is complete, so that packets can be decided on.
+    pub(crate) complete: AtomicBool,
+    pub(crate) held_packets: Mutex<HeldPackets>,
     /// Time of the last packet, in milliseconds since the start.
     pub(crate) last_packet: AtomicU64,
     /// Queue of targets to check.
@@ -111,7 +124,7 @@
 
 impl GatewayState {
     pub(crate) fn now(&self) -> Time {
-        Time(self.started.elapsed().as_millis() as u64)
+        Time(CLOCK_START.0 + self.started.elapsed().as_millis() as u64)
     }
 
     pub(crate) fn forwarder(&self) -> MutexGuard<'_, Forwarder> {
@@ -182,10 +195,11 @@
             forwarder: Mutex::new(forwarder),
             socket,
             address: settings.datagram,
-            domain: settings.domain.clone(),
             codec: adapter.codec,
             started: Instant::now(),
             stopping: AtomicBool::new(false),
+            complete: AtomicBool::new(false),
+            held_packets: Mutex::default(),
             last_packet: AtomicU64::new(0),
             check_queue,
             counters: Counters::default(),
@@ -195,9 +209,10 @@
         let environment = environment(&state, store)?;
         let serves_peers = settings.peer.is_some();
         let control = ControlPlane::spawn(
-            own_entry(&settings),
+            own_peer(&settings),
             serves_peers,
-            &settings.seeds,
+            settings.bounds,
+            &start(&settings),
             environment,
         );
         let control_state = control.state();
@@ -247,6 +262,7 @@
                         self.reload("file changed");
                     }
                     suspects = drop_expired(&self.state, &self.control.state(), suspects);
+                    expire_held_packets(&self.state);
                 }
             }
         }
@@ -257,6 +273,12 @@
         self.state.stopping.store(true, Ordering::Relaxed);
         log::info!(target: "daemon", flows = self.state.forwarder().flow_count(); "stopping");
         let stop_start = self.state.now();
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.control.leave())
+            .await
+            .is_err()
+        {
+            log::info!(target: "daemon", "no peer was told of the stop; they will notice it");
+        }
         let stop_max = Ms(self.settings.stop_timeout.0 * STOP_PERCENT / 100);
         loop {
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -284,18 +306,13 @@
         };
         let old = std::mem::replace(&mut self.settings, settings);
         self.state.forwarder().set_config(config(&self.settings));
-        let rebind = (old.datagram, old.ready, old.metrics)
-            != (
-                self.settings.datagram,
-                self.settings.ready,
-                self.settings.metrics,
-            );
-        if rebind {
-            log::warn!(target: "daemon", "changed listen addresses take effect only after a restart");
+        if fixed_settings(&old) != fixed_settings(&self.settings) {
+            log::warn!(target: "daemon",
+                "changes to [vm], [listen], [log] and the bounds take effect only after a restart");
         }
-        if old.platform != self.settings.platform {
+        if (old.platform, &old.seeds) != (self.settings.platform, &self.settings.seeds) {
             match (self.open_store)(&self.settings) {
-                Ok(store) => self.control.restart(&self.settings.seeds, store),
+                Ok(store) => self.control.restart(&start(&self.settings), store),
                 Err(error) => log::error!(target: "daemon", error = error.to_string().as_str();
                     "cannot open the store of the new settings"),
             }
@@ -312,22 +329,40 @@
     }
 }
 
-/// This VM's catalogue entry. Its ID is derived from its address.
-fn own_entry(settings: &GatewaySettings) -> Vm {
+/// Settings that are only read at the start.
+fn fixed_settings(settings: &GatewaySettings) -> GatewaySettings {
+    GatewaySettings {
+        platform: settings.datagram,
+        seeds: Vec::new(),
+        first_start: false,
+        evacuation_time: Ms(0),
+        heartbeat_interval: Ms(0),
+        stop_timeout: Ms(0),
+        ..settings.clone()
+    }
+}
+
+fn start(settings: &GatewaySettings) -> Start {
+    Start {
+        seeds: settings.seeds.clone(),
+        first: settings.first_start,
+    }
+}
+
+/// This VM as its peers know it. Its ID is derived from its address.
+fn own_peer(settings: &GatewaySettings) -> Peer {
     let id = match settings.datagram.ip() {
         IpAddr::V4(ip) => VmId(ip.into()),
         IpAddr::V6(ip) => VmId(crate::rendezvous::hash(&ip.octets()) as u32),
     };
-    Vm {
+    Peer {
         member: Member {
             vm: id,
             incarnation: new_incarnation(),
         },
         domain: settings.domain.clone(),
-        datagram: settings.datagram,
-        peer: settings.peer.unwrap_or(settings.datagram),
-        http: settings.ready,
-        state: Lifecycle::Live,
+        address: settings.peer.unwrap_or(settings.datagram),
+        link: settings.link,
     }
 }
 
@@ -355,6 +390,7 @@
             ControlEvent::Changed(objects, replica) => {
                 apply_changes(&event_state, objects, replica)
             }
+            ControlEvent::DomainSize(vms) => event_state.forwarder().set_domain_size(vms as u32),
             ControlEvent::StoreFailed(_) => increment(&event_state.counters.store_errors),
         }),
     })
@@ -363,9 +399,7 @@
 /// Applies changed catalogue objects to the forwarder.
 fn apply_changes(state: &GatewayState, objects: &[Object], replica: &Replica) {
     let now = state.now();
-    let vms = replica.catalogue().vms_in(&state.domain).count();
     let mut forwarder = state.forwarder();
-    forwarder.set_domain_size(vms as u32);
     for object in objects {
         forwarder.apply(now, object);
     }
@@ -375,12 +409,17 @@
     if let Some(revision) = replica.revision(Feed::Hosts) {
         forwarder.set_revision(revision);
     }
+    drop(forwarder);
+    if replica.is_complete() && !state.complete.load(Ordering::Relaxed) {
+        release_held_packets(state);
+    }
 }
 
 fn config(settings: &GatewaySettings) -> ForwarderConfig {
     ForwarderConfig {
         evacuation_time: Ms(settings.evacuation_time.0 * EVACUATION_PERCENT / 100),
         propagation_delay: settings.heartbeat_interval,
+        max_route_age: settings.bounds.max_age(Feed::Routes),
     }
 }
 
@@ -452,6 +491,7 @@
         counters: vec![
             ("packets_forwarded", load(&c.forwarded)),
             ("packets_dropped", load(&c.dropped)),
+            ("packets_held", load(&c.held)),
             ("packets_malformed", load(&c.malformed)),
             ("packets_unsent", load(&c.unsent)),
             ("flows_opened", load(&c.flows_opened)),
--- a/burdocklever/src/gateway_checks.rs
+++ b/burdocklever/src/gateway_checks.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use wire::Address;
 
-use crate::control_plane::ControlState;
+use crate::control_state::ControlState;
 use crate::forwarder::{CheckOutcome, CheckRequest};
 use crate::gateway::GatewayState;
 use crate::gateway_packets::send_resets;
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -10,7 +10,8 @@
 
 use crate::code::Code;
 use crate::forwarder::TargetFailure;
-use crate::gateway::{increment, GatewayState};
+use crate::gateway::{increment, lock, GatewayState};
+use crate::held_packets::HeldPacket;
 use crate::segment::{Segment, Verdict};
 
 /// Size of the receive buffer. Packets have 32 bytes of header and at most 1200
@@ -72,9 +73,59 @@
 
 /// Decodes a packet and acts on it.
 fn handle_packet(state: &GatewayState, packet: &[u8], out: &mut Vec<u8>) {
-    match (state.codec.decode)(packet) {
-        Some(segment) => process_segment(state, packet, &segment, out),
-        None => increment(&state.counters.malformed),
+    let Some(segment) = (state.codec.decode)(packet) else {
+        return increment(&state.counters.malformed);
+    };
+    if state.complete.load(Ordering::Relaxed) || !hold(state, &segment, packet) {
+        process_segment(state, packet, &segment, out);
+    }
+}
+
+/// Keeps a packet until the catalogue is complete. Returns false if it is.
+fn hold(state: &GatewayState, segment: &Segment, packet: &[u8]) -> bool {
+    let mut held = lock(&state.held_packets);
+    // Checked again under the lock that `release_held_packets` takes.
+    if state.complete.load(Ordering::Relaxed) {
+        return false;
+    }
+    let now = state.now();
+    state.last_packet.store(now.0, Ordering::Relaxed);
+    let dropped = held.push(now, *segment, packet);
+    drop(held);
+    increment(&state.counters.held);
+    log::info!(target: "flow", flow = flow_id(segment).as_str(),
+        stage = format!("{:?}", segment.stage).as_str(); "packet waits for the catalogue");
+    drop_held_packets(state, &dropped);
+    true
+}
+
+/// Drops packets that waited too long for the catalogue.
+pub(crate) fn expire_held_packets(state: &GatewayState) {
+    let dropped = lock(&state.held_packets).expire(state.now());
+    drop_held_packets(state, &dropped);
+}
+
+fn drop_held_packets(state: &GatewayState, dropped: &[HeldPacket]) {
+    for held in dropped {
+        increment(&state.counters.dropped);
+        log_rejection(&held.segment, Code::NotReady, "packet dropped");
+    }
+}
+
+/// Records that the catalogue is complete, and handles the packets that waited for it.
+pub(crate) fn release_held_packets(state: &GatewayState) {
+    let mut held = lock(&state.held_packets);
+    state.complete.store(true, Ordering::Relaxed);
+    let expired = held.expire(state.now());
+    let packets = held.take();
+    drop(held);
+    drop_held_packets(state, &expired);
+    log::info!(target: "packet", forwarded = packets.len(), expired = expired.len(),
+        waited_ms = state.started.elapsed().as_millis() as u64;
+        "catalogue complete; packets that waited for it are handled");
+    let mut out = Vec::new();
+    for one in &packets {
+        process_segment(state, &one.packet, &one.segment, &mut out);
     }
 }
 
--- a/burdocklever/src/gateway_settings.rs
+++ b/burdocklever/src/gateway_settings.rs
@@ -6,7 +6,9 @@
 use wire::{Address, DomainId};
 
 use crate::code::Code;
+use crate::freshness::Bounds;
 use crate::ini_file::{IniFile, KeyRule, Result};
+use crate::link_rate::LinkRate;
 use crate::time::Ms;
 
 /// Settings of a gateway.
@@ -26,10 +28,17 @@
     pub peer: Option<Address>,
     /// Peer addresses of gateways to contact first; some may no longer exist.
     pub seeds: Vec<Address>,
+    /// Whether the whole fleet starts for the first time, from `[peers] first`.
+    pub first_start: bool,
     /// Address that metrics are served on; none if they are not served.
     pub metrics: Option<Address>,
     /// Address of the platform's store.
     pub platform: Address,
+    /// Times within which changes must be in force, from `[limits] config`, `drain`
+    /// and `leave`.
+    pub bounds: Bounds,
+    /// Capacity of the VM's link, from `[limits] link`.
+    pub link: LinkRate,
     /// Time within which a failure domain that goes out of service must be free of
     /// traffic, from `[limits] leave`.
     pub evacuation_time: Ms,
@@ -41,8 +50,8 @@
     pub level: LevelFilter,
 }
 
-/// The requirements say "a few seconds".
-const EVACUATION_DEFAULT: Ms = Ms(5000);
+/// The smallest link of the users' VMs.
+const LINK_DEFAULT: LinkRate = LinkRate(10);
 /// The usual interval of the platform's targets.
 const HEARTBEAT_DEFAULT: Ms = Ms(1200);
 /// The platform's usual grace period.
@@ -58,6 +67,10 @@
     KeyRule::new("listen", "metrics", false),
     KeyRule::new("peers", "seeds", false),
     KeyRule::new("platform", "address", true),
+    KeyRule::new("peers", "first", false),
+    KeyRule::new("limits", "config", false),
+    KeyRule::new("limits", "drain", false),
+    KeyRule::new("limits", "link", false),
     KeyRule::new("limits", "leave", false),
     KeyRule::new("limits", "heartbeat", false),
     KeyRule::new("limits", "stop", false),
@@ -104,7 +117,9 @@
     let metrics = ini.address("listen", "metrics");
     let seeds = seeds(ini);
     let platform = ini.address("platform", "address");
-    let evacuation_time = ini.value("limits", "leave", duration);
+    let first_start = ini.value("peers", "first", "true or false");
+    let bounds = bounds(ini);
+    let link = ini.value("limits", "link", "a link rate such as 200mbit");
     let heartbeat_interval = ini.value("limits", "heartbeat", duration);
     let stop_timeout = ini.value("limits", "stop", duration);
     let level = ini.value("log", "level", "off, error, warn, info, debug or trace");
@@ -123,13 +138,37 @@
         seeds,
         metrics,
         platform: platform?,
-        evacuation_time: evacuation_time.unwrap_or(EVACUATION_DEFAULT),
+        first_start: first_start.unwrap_or(false),
+        bounds,
+        link: link.unwrap_or(LINK_DEFAULT),
+        evacuation_time: bounds.domains,
         heartbeat_interval: heartbeat_interval.unwrap_or(HEARTBEAT_DEFAULT),
         stop_timeout: stop_timeout.unwrap_or(STOP_DEFAULT),
         level: level.unwrap_or(LevelFilter::Info),
     })
 }
 
+/// Reads the bounds. Shorter ones than [`Bounds::MIN`] are reported.
+fn bounds(ini: &mut IniFile) -> Bounds {
+    let mut bound = |key, default| {
+        let value: Option<Ms> = ini.value("limits", key, "a duration such as 30s");
+        if value.is_some_and(|v| v < Bounds::MIN) {
+            let problem = format!(
+                "expected at least {}, the shortest bound that can be kept",
+                Bounds::MIN
+            );
+            ini.report("limits", key, &problem);
+        }
+        value.unwrap_or(default)
+    };
+    let default = Bounds::default();
+    Bounds {
+        routes: bound("config", default.routes),
+        hosts: bound("drain", default.hosts),
+        domains: bound("leave", default.domains),
+    }
+}
+
 /// Parses the addresses in `[peers] seeds`, separated by commas.
 fn seeds(ini: &mut IniFile) -> Vec<Address> {
     let text = ini.text("peers", "seeds").unwrap_or_default();
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -34,7 +34,9 @@
 mod claim;
 mod claim_transfer;
 mod code;
+mod contacts;
 mod control_plane;
+mod control_state;
 mod daemon;
 mod dispatch;
 mod driver;
@@ -46,14 +48,19 @@
 mod flow_admission;
 mod flow_state;
 mod forwarder;
+mod freshness;
 mod gateway;
 mod gateway_checks;
 mod gateway_packets;
 mod gateway_settings;
+mod held_packets;
 mod http_server;
 mod idempotency_key;
 mod ini_file;
+mod join;
 pub mod json_log;
+mod link_rate;
+mod membership;
 mod metrics;
 mod msg;
 mod node;
@@ -83,9 +90,10 @@
 pub use cell::{DRIFT_DIVISOR, HEARTBEAT, LEASE, PEER_TIMEOUT};
 pub use claim::{Claim, Claims, TargetResponse, KEY_LIFETIME};
 pub use code::Code;
-pub use control_plane::{
-    CatalogueReply, CatalogueRequest, ControlEvent, ControlPlane, ControlState, Cursor,
-    Environment, QueryPeer,
+pub use contacts::{list_to_write, ContactList};
+pub use control_plane::ControlPlane;
+pub use control_state::{
+    CatalogueReply, CatalogueRequest, ControlEvent, ControlState, Cursor, Environment, QueryPeer,
 };
 pub use daemon::{Daemon, Error as DaemonError};
 pub use event::{
@@ -95,15 +103,20 @@
 pub use forwarder::{
     CheckOutcome, CheckRequest, Forwarder, ForwarderConfig, OpenDecision, TargetFailure,
 };
+pub use freshness::Bounds;
 pub use gateway::{Adapter, Codec, Gateway, OpenStore, Signals};
 pub use gateway_checks::{Check, CheckTarget};
 pub use gateway_settings::GatewaySettings;
+pub use held_packets::{HeldPacket, HeldPackets};
 pub use idempotency_key::{IdempotencyKey, IssuedKey};
 pub use ini_file::Error as IniError;
+pub use join::Start;
+pub use link_rate::LinkRate;
+pub use membership::{Condition, MemberNews, Membership, Peer};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
 pub use node::Node;
 pub use operator::{EntryDiff, Error as OperatorError, Operator};
-pub use peer_selection::{max_staleness, successor, PeerSelector};
+pub use peer_selection::{position, reads_for_itself, start_probability, Position, Staleness};
 pub use pin::{PinInfo, Pins, FLOW_IDLE, PIN_REFRESH};
 pub use platform_client::{Error as PlatformError, PlatformClient};
 pub use rendezvous::{hash, score};
@@ -111,7 +124,7 @@
 pub use segment::{Segment, Stage, Verdict};
 pub use settings::Settings;
 pub use status::Status;
-pub use store::{CallFuture, Consistency, Feed, Page, ReadRequest, Registration, Store};
+pub use store::{CallFuture, Consistency, Feed, Page, ReadRequest, Store};
 pub use time::{Ms, Time};
 pub use token::Token;
 pub use trace::open as open_trace_file;
--- a/burdocklever/src/peer_selection.rs
+++ b/burdocklever/src/peer_selection.rs
@@ -1,112 +1,132 @@
 //! Selects which VMs read the store and which peer every other VM polls.
 //!
-//! A few VMs, the store readers, read the store; each other VM polls one of them.
-//! All VMs compute the same ranking with rendezvous hashing, so no coordination is
-//! needed. A VM reads the store itself once its replica is older than
-//! [`max_staleness`], so a dead, frozen or unreachable reader delays changes by
-//! that much at most.
+//! The VMs of a failure domain form a tree by their rank: the first is the root, and
+//! each VM polls the one above it. The roots poll the store readers, which are the
+//! first-ranked roots of the fleet. All VMs compute the same tree from the same
+//! membership, without coordination. A VM leaves out peers that do not answer it, so
+//! it moves up until one does, and reads the store itself if none does.
 
-use std::collections::HashMap;
+use wire::VmId;
 
-use wire::{DomainId, Lifecycle, Vm, VmId};
-
-use crate::catalogue::Catalogue;
+use crate::membership::Peer;
 use crate::rendezvous;
-use crate::store::Feed;
-use crate::time::{Ms, Time};
 
-/// Number of VMs per store reader. Each VM polls its reader once or twice a second,
-/// and a reply takes the reader about 0.1 ms of a core.
-const VMS_PER_READER: usize = 32;
-/// Additional store readers, so that the failure of one does no harm.
-const SPARE_READERS: usize = 1;
-/// Age of a VM's replica above which it reads the store itself. Changes to routes
-/// and targets must take effect within 3 s, to failure domains within 5 s; the
-/// difference is left for reading the store.
-pub const fn max_staleness(feed: Feed) -> Ms {
-    match feed {
-        Feed::Routes | Feed::Hosts => Ms(2300),
-        Feed::Domains => Ms(3800),
-        Feed::Vms => Ms(60_000),
-    }
-}
+/// Number of VMs that poll one peer.
+const FANOUT: usize = 32;
+/// Number of VMs that read the store: one, and a spare in another failure domain.
+const READERS: usize = 2;
+/// First-ranked VMs of each failure domain that may read the store besides the
+/// readers. If all of them fail to reach it, so would the others.
+const EXTRA_READERS: usize = 6;
+/// Share of the maximum age, in percent, at which a VM looks for fresher peers.
+/// Between two confirmations by the store, ages reach 53%.
+pub(crate) const SEEK_PERCENT: u64 = 60;
+/// Share of the maximum age, in percent, at which the root of a failure domain reads
+/// the store, and by which each further one waits longer.
+const READ_PERCENT: u64 = 70;
+const READ_STEP_PERCENT: u64 = 8;
+/// Share of the maximum age, in percent, up to which a peer's answer shows that this
+/// VM need not read the store.
+const RELIEVED_PERCENT: u64 = 40;
 
-/// Time for which a peer that failed to answer is not selected.
-const SUSPECT_TIME: Ms = Ms(5000);
+/// A VM's place among the VMs that it can use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Position {
+    /// Rank in its failure domain, from 0.
+    pub rank: usize,
+    /// The peer to poll; none for a store reader.
+    pub parent: Option<Peer>,
+    /// VMs of its failure domain that poll this one.
+    pub children: Vec<VmId>,
+    /// Peers to ask for a fresher catalogue, best first: the VMs ranked before this
+    /// one, then the roots of the other failure domains, then the other VMs.
+    pub alternatives: Vec<Peer>,
+}
 
-/// Peer selection of one VM, with the peers that it suspects.
-#[derive(Debug)]
-pub struct PeerSelector {
-    own: VmId,
-    domain: DomainId,
-    suspects: HashMap<VmId, Time>,
+impl Position {
+    /// Whether this VM reads the store for others.
+    pub fn is_reader(&self) -> bool {
+        self.parent.is_none()
+    }
 }
 
-impl PeerSelector {
-    /// Selector of VM `own` in failure domain `domain`.
-    pub fn new(own: VmId, domain: DomainId) -> PeerSelector {
-        PeerSelector {
-            own,
-            domain,
-            suspects: HashMap::new(),
+/// Position of VM `own` among the peers that it can use.
+pub fn position(own: &Peer, usable: &[Peer]) -> Position {
+    let mut ranked: Vec<&Peer> = usable.iter().chain([own]).collect();
+    ranked.sort_by_cached_key(|p| (p.rank(), p.member.vm));
+    let local: Vec<&Peer> = ranked
+        .iter()
+        .copied()
+        .filter(|p| p.domain == own.domain)
+        .collect();
+    let is_own = |p: &&Peer| p.member.vm == own.member.vm;
+    let rank = local.iter().position(is_own).unwrap_or(0);
+    let mut roots: Vec<&Peer> = Vec::new();
+    for peer in &ranked {
+        if roots.iter().all(|r| r.domain != peer.domain) {
+            roots.push(peer);
         }
     }
-
-    /// Excludes a peer from selection for a while.
-    pub fn suspect(&mut self, now: Time, vm: VmId) {
-        self.suspects.insert(vm, now + SUSPECT_TIME);
-        self.suspects.retain(|_, until| now < *until);
+    let readers = &roots[..roots.len().min(READERS)];
+    let parent = match rank.checked_sub(1) {
+        Some(above) => local.get(above / FANOUT).copied(),
+        None if readers.iter().any(is_own) => None,
+        None => readers.iter().copied().max_by_key(|r| preference(own, r)),
+    };
+    let polled_by = |n: usize| n.checked_sub(1).is_some_and(|above| above / FANOUT == rank);
+    let children = local.iter().enumerate().filter(|(n, _)| polled_by(*n));
+    let is_root = |p: &&Peer| roots.iter().any(|r| r.member.vm == p.member.vm);
+    let is_foreign = |p: &&&Peer| p.domain != own.domain;
+    let above = local[..rank].iter();
+    let other_roots = roots.iter().filter(is_foreign);
+    let below = local[rank..].iter().filter(|p| !is_own(p));
+    let rest = ranked.iter().filter(is_foreign).filter(|p| !is_root(p));
+    let alternatives = above.chain(other_roots).chain(below).chain(rest);
+    Position {
+        rank,
+        parent: parent.cloned(),
+        children: children.map(|(_, p)| p.member.vm).collect(),
+        alternatives: alternatives.map(|p| (*p).clone()).collect(),
     }
+}
 
-    /// VMs that read the store, highest score first.
-    fn store_readers<'a>(&self, now: Time, catalogue: &'a Catalogue) -> Vec<&'a Vm> {
-        let is_eligible = |vm: &&Vm| {
-            let until = self.suspects.get(&vm.member.vm);
-            vm.state == Lifecycle::Live && until.is_none_or(|until| now >= *until)
-        };
-        let mut list: Vec<&Vm> = catalogue.vms().filter(is_eligible).collect();
-        let count = list.len().div_ceil(VMS_PER_READER) + SPARE_READERS;
-        list.sort_by_key(|vm| {
-            std::cmp::Reverse(rendezvous::score(READER_KEY, vm.member.vm.0.into()))
-        });
-        list.truncate(count);
-        list
-    }
+/// Spreads the roots over the readers.
+fn preference(own: &Peer, reader: &Peer) -> u64 {
+    rendezvous::score(own.member.vm.0.into(), reader.member.vm.0.into())
+}
 
-    /// Another store reader, to poll while this VM is one and cannot reach the store.
-    pub fn select_substitute(&self, now: Time, catalogue: &Catalogue) -> Option<Vm> {
-        let readers = self.store_readers(now, catalogue);
-        let others = readers.into_iter().filter(|vm| vm.member.vm != self.own);
-        let score = |vm: &Vm| rendezvous::score(self.own.0.into(), vm.member.vm.0.into());
-        others.max_by_key(|vm| score(vm)).cloned()
-    }
+/// What a VM that is no store reader knows when it decides whether to read the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Staleness {
+    /// Age of its replica, in percent of the maximum.
+    pub age: u64,
+    /// Age of the last answer of a peer, in percent of the maximum.
+    pub peer_age: u64,
+    /// Whether no peer answers.
+    pub isolated: bool,
+    /// Whether it reads the store now.
+    pub reading: bool,
+}
 
-    /// The peer to poll; none if this VM is to read the store itself. Readers in the
-    /// same failure domain are preferred, since the link to them is the shortest.
-    pub fn select_peer(&self, now: Time, catalogue: &Catalogue) -> Option<Vm> {
-        let readers = self.store_readers(now, catalogue);
-        if readers.iter().any(|vm| vm.member.vm == self.own) {
-            return None;
-        }
-        let same_domain = |vm: &Vm| vm.domain == self.domain;
-        let score = |vm: &Vm| rendezvous::score(self.own.0.into(), vm.member.vm.0.into());
-        let best = readers
-            .into_iter()
-            .max_by_key(|vm| (same_domain(vm), score(vm)));
-        best.cloned()
+/// Whether a VM that is no store reader is to read the store. Load: the readers fail
+/// or are refused by the store, and every VM of the fleet notices at once. Only some
+/// VMs of each failure domain then turn to the store, one after the other.
+pub fn reads_for_itself(rank: usize, staleness: Staleness) -> bool {
+    let delay = match staleness.isolated {
+        true => 0,
+        false if rank >= EXTRA_READERS => return false,
+        false => rank as u64 * READ_STEP_PERCENT,
+    };
+    if staleness.reading {
+        return staleness.isolated || staleness.peer_age > RELIEVED_PERCENT;
     }
+    staleness.age >= READ_PERCENT + delay
 }
 
-/// The VM that `own` monitors: the one with the next higher number, or the lowest
-/// after the last. Each VM is monitored by exactly one other at any fleet size.
-pub fn successor(own: VmId, catalogue: &Catalogue) -> Option<Vm> {
-    let others = || catalogue.vms().filter(|vm| vm.member.vm != own);
-    let next = others()
-        .filter(|vm| vm.member.vm > own)
-        .min_by_key(|vm| vm.member.vm);
-    next.or_else(|| others().min_by_key(|vm| vm.member.vm))
-        .cloned()
+/// Probability that a VM without a catalogue reads the store in the step numbered
+/// `step`. Load: a whole fleet starts, and the VMs that it knows are all gone. A few
+/// read at first, then twice as many in each step.
+pub fn start_probability(domain_vms: u32, step: u32) -> f64 {
+    let first = EXTRA_READERS as f64 / f64::from(domain_vms.max(1));
+    (first * f64::from(step.min(30)).exp2()).min(1.0)
 }
-
-/// Rendezvous key by which all VMs rank the store readers.
-const READER_KEY: u64 = 0;
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -10,7 +10,7 @@
 use wire::{Body, Object, ObjectKey, Version};
 
 use crate::catalogue::Catalogue;
-use crate::peer_selection::max_staleness;
+use crate::freshness::Bounds;
 use crate::store::Feed;
 use crate::time::{Ms, Time};
 
@@ -56,13 +56,33 @@
 /// A replica of the store's objects.
 #[derive(Debug, Default)]
 pub struct Replica {
+    bounds: Bounds,
     catalogue: Catalogue,
     feeds: [FeedState; Feed::COUNT],
     /// Objects of each feed by version, to find those that a peer lacks.
     by_version: [BTreeSet<(Version, ObjectKey)>; Feed::COUNT],
 }
 
+impl ReplicaUpdate {
+    /// Age of the feed that is nearest to its maximum age, in percent of that.
+    pub(crate) fn age_percent(&self, bounds: &Bounds) -> u64 {
+        let percent = |feed: Feed| match self.age[feed as usize] {
+            Some(age) => age.0.saturating_mul(100) / bounds.max_age(feed).0.max(1),
+            None => u64::MAX,
+        };
+        Feed::ALL.into_iter().map(percent).max().unwrap_or(u64::MAX)
+    }
+}
+
 impl Replica {
+    /// Empty replica of a deployment with these bounds.
+    pub fn new(bounds: Bounds) -> Replica {
+        Replica {
+            bounds,
+            ..Replica::default()
+        }
+    }
+
     /// The objects.
     pub fn catalogue(&self) -> &Catalogue {
         &self.catalogue
@@ -90,25 +110,35 @@
         self.feeds[feed as usize].confirmed_at
     }
 
-    /// Whether all feeds that packets depend on have been read.
+    /// Whether all feeds have been read.
     pub fn is_complete(&self) -> bool {
-        Feed::REQUIRED
-            .iter()
-            .all(|f| self.confirmed_at(*f).is_some())
+        Feed::ALL.iter().all(|f| self.confirmed_at(*f).is_some())
     }
 
-    /// Time until any feed that packets depend on is older than `limit` allows; zero
-    /// if one already is.
-    pub fn time_until_stale(&self, now: Time, limit: impl Fn(Feed) -> Ms) -> Ms {
+    /// Time until any feed reaches `percent` of its maximum age; zero if one has.
+    pub fn time_until_age(&self, now: Time, percent: u64) -> Ms {
         let left = |feed: Feed| match self.confirmed_at(feed) {
-            Some(at) => (at + limit(feed)).since(now),
+            Some(at) => (at + Ms(self.bounds.max_age(feed).0 * percent / 100)).since(now),
             None => Ms(0),
         };
-        Feed::REQUIRED
-            .into_iter()
-            .map(left)
-            .min()
-            .unwrap_or_default()
+        Feed::ALL.into_iter().map(left).min().unwrap_or_default()
+    }
+
+    /// Age of the feed that is nearest to its maximum age, in percent of that.
+    pub fn age_percent(&self, now: Time) -> u64 {
+        let age = |feed: Feed| self.confirmed_at(feed).map(|at| now.since(at));
+        let ages = ReplicaUpdate {
+            age: Feed::ALL.map(age),
+            ..ReplicaUpdate::default()
+        };
+        ages.age_percent(&self.bounds)
+    }
+
+    /// Time up to which all feeds were confirmed to be current; the start of time if
+    /// one never was.
+    pub fn confirmed(&self) -> Time {
+        let at = |feed: Feed| self.confirmed_at(feed).unwrap_or_default();
+        Feed::ALL.into_iter().map(at).min().unwrap_or_default()
     }
 
     /// Records that a call to the store failed, other than by throttling.
@@ -314,7 +344,7 @@
                 state.confirmed_at = state.confirmed_at.max(Some(at));
                 // If the update is fresh, the peer can reach the store and has applied any
                 // grace period.
-                state.unreachable &= age >= max_staleness(Feed::ALL[i]);
+                state.unreachable &= age >= self.bounds.max_age(feed);
             }
             state.revision = state.revision.max(update.revisions[i]);
             if update.complete[i] {
--- a/burdocklever/src/store.rs
+++ b/burdocklever/src/store.rs
@@ -8,8 +8,9 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use wire::{Object, ObjectKey, Version, Vm, VmId};
+use wire::{Object, ObjectKey, Version};
 
+use crate::contacts::ContactList;
 use crate::platform_client::Result;
 use crate::time::Ms;
 
@@ -22,17 +23,13 @@
     Domains,
     /// Targets.
     Hosts,
-    /// Entry VMs.
-    Vms,
 }
 
 impl Feed {
     /// Number of feeds.
-    pub const COUNT: usize = 4;
+    pub const COUNT: usize = 3;
     /// All feeds, in the order of their discriminants.
-    pub const ALL: [Feed; Feed::COUNT] = [Feed::Routes, Feed::Domains, Feed::Hosts, Feed::Vms];
-    /// Feeds that a VM must have read before it is ready for packets.
-    pub const REQUIRED: [Feed; 3] = [Feed::Routes, Feed::Domains, Feed::Hosts];
+    pub const ALL: [Feed; Feed::COUNT] = [Feed::Routes, Feed::Domains, Feed::Hosts];
 
     /// Feed of an object; none if its kind is in no feed.
     pub fn of(key: &ObjectKey) -> Option<Feed> {
@@ -40,7 +37,6 @@
             "route" | "pool" => Some(Feed::Routes),
             "domain" => Some(Feed::Domains),
             "host" => Some(Feed::Hosts),
-            "vm" => Some(Feed::Vms),
             _ => None,
         }
     }
@@ -52,7 +48,6 @@
             Feed::Routes => "routes",
             Feed::Domains => "domains",
             Feed::Hosts => "hosts",
-            Feed::Vms => "vms",
         })
     }
 }
@@ -94,19 +89,12 @@
 /// A pending call to the store or to a peer.
 pub type CallFuture<T> = Pin<Box<dyn Future<Output = Result<T>> + Send>>;
 
-/// A write to the entry of a VM.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Registration {
-    /// Creates or overwrites the entry.
-    Put(Vm),
-    /// Deletes the entry if it still has this version.
-    Delete(VmId, Version),
-}
-
 /// Client functions of a store. The last argument of each is its timeout.
 pub struct Store {
     /// Reads a feed.
     pub read: Box<dyn Fn(Feed, ReadRequest, Ms) -> CallFuture<Page> + Send + Sync>,
-    /// Writes the entry of a VM.
-    pub write: Box<dyn Fn(Registration, Ms) -> CallFuture<()> + Send + Sync>,
+    /// Reads the contact lists of all failure domains. They may be some seconds old.
+    pub read_contacts: Box<dyn Fn(Ms) -> CallFuture<Vec<ContactList>> + Send + Sync>,
+    /// Creates or overwrites the contact list of a failure domain.
+    pub write_contacts: Box<dyn Fn(ContactList, Ms) -> CallFuture<()> + Send + Sync>,
 }
--- a/burdocklever/tests/forwarder.rs
+++ b/burdocklever/tests/forwarder.rs
@@ -24,6 +24,7 @@
         let config = ForwarderConfig {
             evacuation_time: Ms(4000),
             propagation_delay: Ms(1000),
+            max_route_age: Ms(2000),
         };
         let mut vm = TestVm {
             forwarder: Forwarder::new("accra".parse().unwrap(), config),
@@ -320,6 +321,7 @@
     let config = ForwarderConfig {
         evacuation_time: Ms(4000),
         propagation_delay: Ms(1000),
+        max_route_age: Ms(2000),
     };
     let mut forwarder = Forwarder::new("accra".parse().unwrap(), config);
     let segment = Segment {
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use burdocklever::{ControlPlane, ControlState, Feed};
+use burdocklever::{Bounds, ControlPlane, ControlState, Feed, LinkRate, Peer, Start};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, Instant};
 use wire::{
     Address, Body, DomainId, DomainState, Host, HostId, Incarnation, Lifecycle, Member, Object,
-    ObjectKey, Pool, Route, Share, Version, Vm, VmId,
+    ObjectKey, Pool, Route, Share, Version, VmId,
 };
 
 use crate::network::environment;
@@ -28,10 +28,8 @@
 /// Sizes of a fleet and of what it knows.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
-    /// Entry VMs that exist.
+    /// Entry VMs.
     pub vms: u32,
-    /// Those of them that run here. The others are only listed.
-    pub run: u32,
     /// Failure domains.
     pub domains: u32,
     /// Targets.
@@ -70,8 +68,6 @@
 /// What a VM cost.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Cost {
-    /// Calls to the store.
-    pub calls: u64,
     /// Bytes told to peers.
     pub told: u64,
     /// Bytes heard from peers.
@@ -113,6 +109,8 @@
     pub(crate) rng: ChaCha8Rng,
     next_host: u64,
     hosts: Vec<u64>,
+    /// Whether the fleet starts for the first time.
+    first: bool,
 }
 
 fn domain(n: u32) -> DomainId {
@@ -125,17 +123,20 @@
     Address::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7000))
 }
 
-fn entry(plan: &Plan, n: u32, life: u64) -> Vm {
-    Vm {
+/// One VM in ten has a fast link.
+fn link(n: u32) -> LinkRate {
+    LinkRate(if n % 10 == 9 { 200 } else { 20 })
+}
+
+fn entry(plan: &Plan, n: u32, life: u64) -> Peer {
+    Peer {
         member: Member {
             vm: VmId(n + 1),
             incarnation: Incarnation(life),
         },
         domain: domain(n % plan.domains),
-        datagram: address(n),
-        peer: address(n),
-        http: address(n),
-        state: Lifecycle::Live,
+        address: address(n),
+        link: link(n),
     }
 }
 
@@ -168,7 +169,7 @@
 }
 
 impl Fleet {
-    /// Starts all VMs that run here within 0.3 s. The others are listed before.
+    /// Starts all VMs within 0.3 s, for the first time.
     pub async fn spawn(plan: Plan, seed: u64, flaw: Flaw) -> Fleet {
         let mut store = Store::new(plan.rate);
         let pool = Pool {
@@ -183,12 +184,7 @@
         for id in 1..=plan.targets {
             store.put(ObjectKey::new("host", id), host(&plan, id, Lifecycle::Live));
         }
-        let step = (plan.vms / plan.run).max(1);
-        for n in (0..plan.vms).filter(|n| n % step != 0 || n / step >= plan.run) {
-            let vm = entry(&plan, n, 1);
-            store.put(ObjectKey::new("vm", vm.member.vm), Body::Vm(vm));
-        }
-        let count = plan.run as usize;
+        let count = plan.vms as usize;
         let world = World {
             begun: Instant::now(),
             store: Mutex::new(store),
@@ -209,14 +205,16 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_host: plan.targets,
             hosts: (1..=plan.targets).collect(),
+            first: true,
         };
         fleet.start_all().await;
+        fleet.first = false;
         fleet
     }
 
     /// Starts every VM that is down, within 0.3 s.
     pub async fn start_all(&mut self) {
-        let pause = Duration::from_millis(300) / self.plan.run;
+        let pause = Duration::from_millis(300) / self.plan.vms;
         for i in 0..self.vms.len() {
             if self.vms[i].is_none() {
                 self.start(i);
@@ -227,19 +225,22 @@
 
     /// Starts a VM. It knows nothing.
     pub fn start(&mut self, i: usize) {
-        let step = (self.plan.vms / self.plan.run).max(1);
         let life = self.world.begun.elapsed().as_millis() as u64 + 2;
-        let own = entry(&self.plan, i as u32 * step, life);
+        let own = entry(&self.plan, i as u32, life);
         lock(&self.world.seen)[i].clear();
         lock(&self.world.lines)[i] = Line {
             up: true,
             disturbed: Some(Instant::now()),
             ..Line::default()
         };
-        let seeds: Vec<Address> = (0..3).map(|s| address(s * step)).collect();
-        let at = own.peer;
+        let start = Start {
+            seeds: (0..3).map(address).collect(),
+            first: self.first,
+        };
+        let at = own.address;
         let seed = self.rng.random();
-        let control = ControlPlane::spawn(own, true, &seeds, environment(&self.world, i, seed));
+        let environment = environment(&self.world, i, seed);
+        let control = ControlPlane::spawn(own, true, Bounds::default(), &start, environment);
         lock(&self.world.known).insert(at, (i, control.state()));
         self.vms[i] = Some(control);
     }
@@ -416,7 +417,7 @@
     }
 
     /// Calls to the store so far, and those that it refused.
-    pub fn store_calls(&self) -> (u64, u64) {
+    pub fn store_calls(&self) -> (f64, u64) {
         let store = lock(&self.world.store);
         (store.calls, store.refused)
     }
--- a/model/src/growth.rs
+++ b/model/src/growth.rs
@@ -14,8 +14,6 @@
 
 /// Sizes in VMs; the last one is the target of two years from now.
 const SIZES: [u32; 6] = [9, 30, 100, 300, 1000, 5200];
-/// VMs that run in the model; of more, the others are only listed.
-const RUN_MAX: u32 = 300;
 /// Targets a VM, as at the target size: 30,000 over 5,200.
 const TARGETS_A_VM: f64 = 5.8;
 /// Changes a second at the target size: 17,000 a day, and two for each of 2,200
@@ -30,7 +28,6 @@
 #[derive(Debug, Clone, Copy)]
 struct Row {
     vms: u32,
-    run: u32,
     /// VMs that read the store.
     readers: usize,
     /// Calls a second of all VMs that run.
@@ -49,7 +46,7 @@
 /// The system's error if a file cannot be written, the plotter's otherwise.
 pub fn growth() -> Result<()> {
     let rows: Vec<Row> = SIZES.into_iter().map(measure).collect();
-    let header = "vms,run,readers,store calls a second,bytes told a second by the busiest,\
+    let header = "vms,readers,store calls a second,bytes told a second by the busiest,\
                   bytes heard a second by the middle one,ms until serving after all were killed";
     let lines: Vec<String> = rows.iter().map(line).collect();
     println!("{header}\n{}", lines.join("\n"));
@@ -71,9 +68,8 @@
 
 fn line(row: &Row) -> String {
     format!(
-        "{},{},{},{:.1},{:.0},{:.0},{}",
+        "{},{},{:.1},{:.0},{:.0},{}",
         row.vms,
-        row.run,
         row.readers,
         row.calls,
         row.told,
@@ -85,7 +81,6 @@
 fn measure(vms: u32) -> Row {
     let plan = Plan {
         vms,
-        run: vms.min(RUN_MAX),
         domains: if vms > 100 { 16 } else { 4 },
         targets: (f64::from(vms) * TARGETS_A_VM) as u64,
         routes: vms.min(1000),
@@ -102,7 +97,7 @@
         }
         let after = fleet.costs();
         let readers = fleet.readers().len();
-        let calls = (fleet.store_calls().0 - calls) as f64 / CALM.as_secs_f64();
+        let calls = (fleet.store_calls().0 - calls) / CALM.as_secs_f64();
         let rates = |f: fn(&Cost) -> u64| {
             let rate = |(a, b): (&Cost, &Cost)| (f(b) - f(a)) as f64 / CALM.as_secs_f64();
             let mut all: Vec<f64> = before.iter().zip(&after).map(rate).collect();
@@ -110,13 +105,12 @@
             all
         };
         let (told, heard) = (rates(|c| c.told), rates(|c| c.heard));
-        let again = lose_all(&mut fleet, plan.run).await;
+        let again = lose_all(&mut fleet, plan.vms).await;
         for broken in fleet.broken() {
             eprintln!("{vms} VMs: {broken}");
         }
         Row {
             vms,
-            run: plan.run,
             readers,
             calls,
             told: told.last().copied().unwrap_or(0.0),
@@ -131,18 +125,18 @@
     simulate(async move {
         let mut fleet = Fleet::spawn(plan, 1, Flaw::None).await;
         fleet.play(Duration::from_secs(10)).await;
-        lose_all(&mut fleet, plan.run).await
+        lose_all(&mut fleet, plan.vms).await
     })
 }
 
 /// Kills all VMs, starts them again and waits until nine of ten can serve.
-async fn lose_all(fleet: &mut Fleet, run: u32) -> Duration {
-    for i in 0..run as usize {
+async fn lose_all(fleet: &mut Fleet, vms: u32) -> Duration {
+    for i in 0..vms as usize {
         fleet.kill(i);
     }
     let begun = tokio::time::Instant::now();
     fleet.start_all().await;
-    while fleet.ready() * 10 < run as usize * 9 && begun.elapsed() < PATIENCE {
+    while fleet.ready() * 10 < vms as usize * 9 && begun.elapsed() < PATIENCE {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     begun.elapsed()
--- a/model/src/network.rs
+++ b/model/src/network.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use burdocklever::{
-    CallFuture, CatalogueReply, CatalogueRequest, Code, ControlEvent, Environment, Ms,
-    Registration, Time,
+    CallFuture, CatalogueReply, CatalogueRequest, Code, ContactList, ControlEvent, Environment, Ms,
+    Time,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
-use wire::{Address, Body, ObjectKey};
+use wire::{Address, Body};
 
 use crate::fleet::{lock, Flaw, World};
 use crate::store;
@@ -20,7 +20,8 @@
 
 /// Connections of VM `i` to the simulated world.
 pub(crate) fn environment(world: &Arc<World>, i: usize, seed: u64) -> Environment {
-    let (reading, writing, asking) = (world.clone(), world.clone(), world.clone());
+    let (reading, contacts, writing) = (world.clone(), world.clone(), world.clone());
+    let asking = world.clone();
     let (clock, telling) = (world.clone(), world.clone());
     let rng = Mutex::new(ChaCha8Rng::seed_from_u64(seed));
     Environment {
@@ -28,37 +29,62 @@
             read: Box::new(move |feed, ask, limit| {
                 let world = reading.clone();
                 Box::pin(async move {
-                    lock(&world.costs)[i].calls += 1;
                     let reaches = || !lock(&world.lines)[i].no_store;
                     store::read(&world.store, reaches, feed, ask, limit).await
                 })
             }),
-            write: Box::new(move |change, limit| {
+            read_contacts: Box::new(move |limit| {
+                let world = contacts.clone();
+                Box::pin(async move { read_contacts(&world, i, limit).await })
+            }),
+            write_contacts: Box::new(move |list, limit| {
                 let world = writing.clone();
-                Box::pin(async move { write(&world, i, change, limit).await })
+                Box::pin(async move { write_contacts(&world, i, list, limit).await })
             }),
         },
         query_peer: Box::new(move |to, request, limit| {
             query_peer(asking.clone(), i, to, request, limit)
         }),
-        clock: Box::new(move || Time(clock.begun.elapsed().as_millis() as u64)),
+        clock: Box::new(move || now(&clock)),
         random: Box::new(move || lock(&rng).random()),
         on_event: Box::new(move |event| hear(&telling, i, event)),
     }
 }
 
-async fn write(world: &World, i: usize, change: Registration, limit: Ms) -> store::Result<()> {
-    lock(&world.costs)[i].calls += 1;
+/// Reading of the clocks at the start. Instants before it can be expressed.
+const CLOCK_START: u64 = 1_000_000;
+
+fn now(world: &World) -> Time {
+    Time(CLOCK_START + world.begun.elapsed().as_millis() as u64)
+}
+
+/// The way of a call to the store and back. The call hangs if the store is not reached.
+async fn reach_store(world: &World, i: usize, limit: Ms) -> store::Result<()> {
     if lock(&world.lines)[i].no_store || lock(&world.store).down {
         sleep(Duration::from_millis(limit.0)).await;
         return Err(store::error(Code::NoPlatform));
     }
-    sleep(Duration::from_millis(4)).await;
-    let (vm, body) = match change {
-        Registration::Put(vm) => (vm.member.vm, Body::Vm(vm)),
-        Registration::Delete(vm, _) => (vm, Body::Removed),
-    };
-    lock(&world.store).put(ObjectKey::new("vm", vm), body);
+    sleep(store::ANSWER).await;
+    Ok(())
+}
+
+async fn read_contacts(world: &World, i: usize, limit: Ms) -> store::Result<Vec<ContactList>> {
+    reach_store(world, i, limit).await?;
+    let mut store = lock(&world.store);
+    store.calls += store::STALE_CALL_COST;
+    Ok(store.contacts.values().cloned().collect())
+}
+
+async fn write_contacts(
+    world: &World,
+    i: usize,
+    list: ContactList,
+    limit: Ms,
+) -> store::Result<()> {
+    reach_store(world, i, limit).await?;
+    let mut store = lock(&world.store);
+    store.take()?;
+    store.contacts.insert(list.domain.clone(), list);
     Ok(())
 }
 
@@ -106,7 +132,9 @@
 }
 
 fn flawed(mut reply: CatalogueReply, flaw: Flaw) -> CatalogueReply {
-    let update = &mut reply.update;
+    let Some(update) = &mut reply.update else {
+        return reply;
+    };
     match flaw {
         Flaw::None => {}
         Flaw::Ageless => update.age = update.age.map(|age| age.map(|_| Ms(0))),
--- a/model/src/relay.rs
+++ b/model/src/relay.rs
@@ -15,7 +15,7 @@
     /// Promises that were broken.
     pub broken: Vec<String>,
     /// Calls to the store, and those that it refused.
-    pub calls: (u64, u64),
+    pub calls: (f64, u64),
 }
 
 /// Longest fault.
@@ -25,7 +25,6 @@
 pub fn storm(seed: u64, vms: u32, seconds: u64, flaw: Flaw) -> Report {
     let plan = Plan {
         vms,
-        run: vms,
         domains: 4,
         targets: 120,
         routes: 20,
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use burdocklever::{Code, Consistency, Feed, Ms, Page, PlatformError, ReadRequest};
+use burdocklever::{Code, Consistency, ContactList, Feed, Ms, Page, PlatformError, ReadRequest};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
-use wire::{Body, Object, ObjectKey, Version};
+use wire::{Body, DomainId, Object, ObjectKey, Version};
 
 /// Time of an answer; the site files name it.
-const ANSWER: Duration = Duration::from_millis(4);
+pub(crate) const ANSWER: Duration = Duration::from_millis(4);
+/// Cost of a read that may be answered from old data, in calls.
+pub(crate) const STALE_CALL_COST: f64 = 0.1;
 /// Objects a page.
 const PAGE: usize = 500;
 
@@ -22,6 +24,7 @@
     objects: BTreeMap<ObjectKey, Object>,
     /// Changes of each feed in their order.
     changes: [Vec<Object>; Feed::COUNT],
+    pub(crate) contacts: BTreeMap<DomainId, ContactList>,
     /// Wakes watches of a feed.
     wake: [watch::Sender<u64>; Feed::COUNT],
     /// Calls a second.
@@ -29,7 +32,8 @@
     calls_left: f64,
     filled: Instant,
     pub(crate) down: bool,
-    pub(crate) calls: u64,
+    /// Calls so far; one that may be answered from old data costs a tenth.
+    pub(crate) calls: f64,
     pub(crate) refused: u64,
 }
 
@@ -40,12 +44,13 @@
             revision: 0,
             objects: BTreeMap::new(),
             changes: Default::default(),
+            contacts: BTreeMap::new(),
             wake: std::array::from_fn(|_| watch::Sender::new(0)),
             rate,
             calls_left: rate,
             filled: Instant::now(),
             down: false,
-            calls: 0,
+            calls: 0.0,
             refused: 0,
         }
     }
@@ -70,12 +75,12 @@
     }
 
     /// Takes a call, unless the store is down or busy.
-    fn take(&mut self) -> Result<()> {
+    pub(crate) fn take(&mut self) -> Result<()> {
         let now = Instant::now();
         let fresh = now.duration_since(self.filled).as_secs_f64() * self.rate;
         self.calls_left = (self.calls_left + fresh).min(self.rate);
         self.filled = now;
-        self.calls += 1;
+        self.calls += 1.0;
         if self.calls_left < 1.0 {
             self.refused += 1;
             return Err(error(Code::Throttled));
@@ -149,7 +154,9 @@
             std::future::pending::<()>().await;
         }
         // Lists that may be old do not count toward the rate.
-        if !matches!(ask, ReadRequest::List(_, Consistency::Serializable)) {
+        if matches!(ask, ReadRequest::List(_, Consistency::Serializable)) {
+            lock().calls += STALE_CALL_COST;
+        } else {
             lock().take()?;
         }
         let page = match ask {
--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -41,7 +41,6 @@
 fn a_fleet_that_was_lost_serves_again_soon_at_a_busy_store() {
     let plan = Plan {
         vms: 60,
-        run: 60,
         domains: 4,
         targets: 3000,
         routes: 20,
