--- a/burdocklever/src/contacts.rs
+++ b/burdocklever/src/contacts.rs
@@ -62,6 +62,7 @@
 pub(crate) async fn publish_contacts(state: &ControlState, store: &Arc<Store>) {
     let mut root_since = None;
     let mut stored = None;
+    let mut era = 0;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = (state.clock)();
@@ -72,6 +73,10 @@
         if now.since(*root_since.get_or_insert(now)) < ROOT_SETTLED {
             continue;
         }
+        // A store that came back from an older copy may lack the list.
+        if std::mem::replace(&mut era, state.store_era()) != state.store_era() {
+            stored = None;
+        }
         if let Err(error) = update_list(state, store, &mut stored).await {
             log::info!(target: "store", error = error.to_string().as_str();
                 "contact list not written; trying again");
--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -48,6 +48,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without a request of a VM that polls this one after which it is suspect.
 const CHILD_SILENCE: Ms = Ms(10_000);
+/// Shortest interval at which deferred changes are checked.
+const DUE_CHECK_MIN: Duration = Duration::from_millis(50);
 /// Number of peers of any failure domain that are queried in parallel to check
 /// this VM's link.
 const LINK_PROBES: usize = 2;
@@ -88,8 +90,7 @@
             let watching = watch_feed(self.state.clone(), store.clone(), feed);
             self.tasks.spawn(watching);
         }
-        self.tasks
-            .spawn(apply_deferred_removals(self.state.clone()));
+        self.tasks.spawn(apply_deferred_changes(self.state.clone()));
         if !self.answers_peers {
             self.state.set_reads_store(true);
             return;
@@ -407,20 +408,26 @@
     }
 }
 
-/// Removes targets that have not registered again within the grace period after
-/// an outage.
-async fn apply_deferred_removals(state: Arc<ControlState>) {
+/// Applies what an outage or an older copy of the store would undo, once the time to
+/// write it again has passed.
+async fn apply_deferred_changes(state: Arc<ControlState>) {
     loop {
         let next = state
-            .with_replica(|now, replica| replica.next_deferred_removal().map(|at| at.since(now)));
-        match next {
-            Some(wait) => tokio::time::sleep(Duration::from_millis(wait.0)).await,
-            None => state.removal_deferred.notified().await,
+            .with_replica(|now, replica| replica.next_deferred_change().map(|at| at.since(now)));
+        let wait = match next {
+            // What is overdue waits for the next confirmation by the store.
+            Some(wait) => Duration::from_millis(wait.0).max(DUE_CHECK_MIN),
+            None => Duration::MAX,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            // An earlier one may have been added.
+            () = state.change_deferred.notified() => {}
         }
         for feed in Feed::ALL {
-            let removed = state.with_replica(|now, replica| replica.apply_due_removals(now, feed));
-            if !removed.is_empty() {
-                state.publish(&removed);
+            let due = state.with_replica(|now, replica| replica.apply_due_changes(now, feed));
+            if !due.is_empty() {
+                state.publish(&due);
             }
         }
     }
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -111,8 +111,8 @@
     progress: watch::Sender<Progress>,
     /// Whether this VM reads the store itself.
     reads_store: watch::Sender<bool>,
-    /// Wakes the task that applies deferred removals.
-    pub(crate) removal_deferred: Notify,
+    /// Wakes the task that applies deferred changes.
+    pub(crate) change_deferred: Notify,
     /// Wakes a VM without a catalogue when it hears of a peer.
     pub(crate) peer_learned: Notify,
     /// Whether no peer answered when this VM last asked several.
@@ -167,7 +167,7 @@
             members: Mutex::new(Membership::new(own)),
             progress: watch::Sender::new(Progress::default()),
             reads_store: watch::Sender::new(false),
-            removal_deferred: Notify::new(),
+            change_deferred: Notify::new(),
             peer_learned: Notify::new(),
             isolated: AtomicBool::new(false),
             failing: Mutex::default(),
@@ -209,6 +209,11 @@
         position(members.own(), &usable)
     }
 
+    /// Number of times that the store came back from an older copy.
+    pub fn store_era(&self) -> u16 {
+        self.replica().era()
+    }
+
     /// Number of feeds with a failed store call and no reported recovery since.
     pub fn failing_feeds(&self) -> usize {
         lock(&self.failing).len()
@@ -387,8 +392,8 @@
     pub(crate) fn publish(&self, objects: &[Object]) {
         let replica = self.replica();
         (self.on_event)(ControlEvent::Changed(objects, &replica));
-        if replica.next_deferred_removal().is_some() {
-            self.removal_deferred.notify_one();
+        if replica.next_deferred_change().is_some() {
+            self.change_deferred.notify_one();
         }
         let (complete, confirmed) = (replica.is_complete(), replica.confirmed());
         drop(replica);
@@ -479,8 +484,9 @@
 
 fn log_changes(objects: &[Object]) {
     if objects.len() > LOGGED_CHANGES_MAX {
-        let newest = objects.iter().map(|o| o.version.0).max();
-        log::info!(target: "catalogue", objects = objects.len(), newest = newest.unwrap_or(0);
+        let newest = objects.iter().map(|o| o.version).max().unwrap_or_default();
+        log::info!(target: "catalogue", objects = objects.len(), newest = newest.revision(),
+            era = newest.era();
             "many changes");
         return;
     }
@@ -492,6 +498,7 @@
             _ => "Set".into(),
         };
         log::info!(target: "catalogue", object = object.key.to_string().as_str(),
-            version = object.version.0, state = state.as_str(); "changed");
+            version = object.version.revision(), era = object.version.era(),
+            state = state.as_str(); "changed");
     }
 }
--- /dev/null
+++ b/burdocklever/src/era.rs
@@ -0,0 +1,56 @@
+//! What a VM makes of the store when it comes back from an older copy.
+//!
+//! The store then lacks what was written in the seconds before, and its revisions
+//! start again: a new era begins. Operators and targets write again what was lost. Until
+//! they have, or until the time for that has passed, what a VM knows of those seconds
+//! stays in force.
+
+use wire::{Body, Lifecycle, Object};
+
+use crate::store::Feed;
+use crate::time::Ms;
+
+/// Time in which targets write their entries again, and VMs hear of it: the platform
+/// guarantees 2 s.
+pub(crate) const HOST_HOLD: Ms = Ms(3000);
+/// Time in which operators write their changes again.
+pub(crate) const OPERATOR_HOLD: Ms = Ms(15_000);
+
+/// What to do with the state of an object in the copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopyDecision {
+    /// The copy's state applies at once.
+    Apply,
+    /// What is known stays in force for this time, unless it is written again.
+    Hold(Ms),
+}
+
+/// Decides between a known object and its state in the copy; none if the copy lacks
+/// it. `config` is the number of the configuration in the copy.
+pub fn decide(known: &Object, copy: Option<&Object>, config: u64) -> CopyDecision {
+    let removed = Body::Removed;
+    let body = copy.map_or(&removed, |o| &o.body);
+    let is_later = copy.is_some_and(|o| o.version.revision() >= known.version.revision());
+    if *body == known.body || is_later {
+        return CopyDecision::Apply;
+    }
+    match Feed::of(&known.key) {
+        Some(Feed::Routes) if config >= known.change => CopyDecision::Apply,
+        Some(Feed::Hosts) if is_later_host(&known.body, body) => CopyDecision::Apply,
+        // An entry that comes back without its target lapses only after some seconds.
+        Some(Feed::Hosts) if known.body != Body::Removed => CopyDecision::Hold(HOST_HOLD),
+        _ => CopyDecision::Hold(OPERATOR_HOLD),
+    }
+}
+
+/// Whether a target's entry follows from a known one: it has started again, or it
+/// leaves. No target returns from leaving.
+fn is_later_host(known: &Body, copy: &Body) -> bool {
+    match (known, copy) {
+        (Body::Host(known), Body::Host(copy)) => {
+            let (k, c) = (known.incarnation, copy.incarnation);
+            c > k || (c == k && copy.state != Lifecycle::Live)
+        }
+        _ => false,
+    }
+}
--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -6,7 +6,8 @@
 
 use crate::code::Code;
 use crate::control_state::ControlState;
-use crate::platform_client::Result;
+use crate::era::OPERATOR_HOLD;
+use crate::platform_client::{Error, Result};
 use crate::store::{Consistency, Feed, Page, ReadRequest, Store};
 use crate::time::{Ms, Time};
 
@@ -56,7 +57,11 @@
                 };
                 let watched =
                     (store.read)(feed, ReadRequest::Watch(from, wait), wait + timeout).await;
-                watched.map(|page| vec![page])
+                watched.and_then(|page| match page.revision.era() > from.era() {
+                    // The revision that was watched from means something else now.
+                    true => Err(era_ended()),
+                    false => Ok(vec![page]),
+                })
             }
         };
         let pause = match result {
@@ -66,6 +71,15 @@
                 history_available = true;
                 consistency = Consistency::Serializable;
                 let mut changed = false;
+                let outdated = |p: &Page| state.replica().is_outdated(feed, p.revision);
+                if pages.iter().any(outdated) {
+                    log::info!(target: "store", feed = feed.to_string().as_str();
+                        "an answer from before the store's return was ignored; reading again");
+                    history_available = false;
+                    consistency = Consistency::Linearizable;
+                    tokio::time::sleep(RETRY_MIN).await;
+                    continue;
+                }
                 for page in pages {
                     changed |= apply_page(&state, feed, page, listed);
                 }
@@ -97,6 +111,8 @@
 fn apply_page(state: &ControlState, feed: Feed, page: Page, listed: bool) -> bool {
     let skipped = page.skipped;
     let (recovered, changed) = state.with_replica(|now, replica| {
+        let new_era = replica.is_new_era(feed, page.revision);
+        let (era, objects) = (page.revision.era(), page.objects.len());
         let recovered = replica.mark_reachable(now, feed);
         if listed {
             replica.raise_history_floor(feed, page.revision);
@@ -105,6 +121,12 @@
             true => replica.apply_list(now, feed, page.objects, page.revision),
             false => replica.apply_changes(now, feed, page.objects, page.revision),
         };
+        if new_era {
+            log::warn!(target: "store", feed = feed.to_string().as_str(), era = era,
+                objects = objects, changed = changed.len(), held = replica.deferred_changes(),
+                held_ms = OPERATOR_HOLD.0;
+                "store came back from an older copy; what it lost stays in force until it is written again");
+        }
         (recovered, changed)
     });
     if recovered {
@@ -136,6 +158,9 @@
         if after.is_none() {
             all.revision = page.revision;
         }
+        if page.revision.era() != all.revision.era() {
+            return Err(era_ended());
+        }
         all.objects.extend(page.objects);
         all.skipped += page.skipped;
         after = page.next;
@@ -149,9 +174,21 @@
     }
     let since = ReadRequest::Watch(all.revision, Ms(0));
     let changes = read_with_retries(state, store, feed, since, timeout).await?;
+    if changes.revision.era() != all.revision.era() {
+        return Err(era_ended());
+    }
     Ok(vec![all, changes])
 }
 
+/// Result of a read during which the store came back from an older copy. As when the
+/// store lost its history, the feed is listed again.
+fn era_ended() -> Error {
+    Error {
+        code: Code::HistoryGone,
+        detail: "the store came back from an older copy".into(),
+    }
+}
+
 /// Reads a feed. Retries while the store throttles the call.
 async fn read_with_retries(
     state: &ControlState,
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -486,6 +486,7 @@
     let c = &state.counters;
     // Lock order: the control state before the forwarder.
     let ready = is_ready(state, control_state);
+    let era = u64::from(control_state.store_era());
     let forwarder = state.forwarder();
     Sample {
         counters: vec![
@@ -504,6 +505,7 @@
             ("targets_suspect", forwarder.suspect_targets() as u64),
             ("ready", u64::from(ready)),
             ("feeds_lost", control_state.failing_feeds() as u64),
+            ("store_era", era),
         ],
     }
 }
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -172,7 +172,7 @@
     if let Some(o) = open_decision {
         increment(&state.counters.flows_opened);
         log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
-            near = o.local, far = o.remote, suspects = o.suspects, copy = o.copy, revision = o.revision.0,
+            near = o.local, far = o.remote, suspects = o.suspects, copy = o.copy, revision = o.revision.revision(),
             age_ms = o.age.0; "flow opened");
     }
 }
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -40,6 +40,7 @@
 mod daemon;
 mod dispatch;
 mod driver;
+mod era;
 mod event;
 mod exchange;
 mod explain;
@@ -96,6 +97,7 @@
     CatalogueReply, CatalogueRequest, ControlEvent, ControlState, Cursor, Environment, QueryPeer,
 };
 pub use daemon::{Daemon, Error as DaemonError};
+pub use era::{decide, CopyDecision};
 pub use event::{
     Action, Counts, Event, Mark, Outcome, Packet, PacketId, PeerTask, Request, RequestId,
 };
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -10,13 +10,11 @@
 use wire::{Body, Object, ObjectKey, Version};
 
 use crate::catalogue::Catalogue;
+use crate::era::{decide, CopyDecision};
 use crate::freshness::Bounds;
 use crate::store::Feed;
 use crate::time::{Ms, Time};
 
-/// Grace period for targets to register again after an outage of the platform. The
-/// platform guarantees that they do within 2 s.
-const GRACE_PERIOD: Ms = Ms(2200);
 /// Largest number of tombstones, which tell peers of removals. At 17,000 changes
 /// per day they cover several hours.
 const TOMBSTONES_MAX: usize = 4096;
@@ -32,6 +30,10 @@
     /// Revision up to which each feed is complete.
     #[serde(rename = "through")]
     pub revisions: [Version; Feed::COUNT],
+    /// What the sender holds back of an older copy of the store, in those feeds of which
+    /// all objects are included.
+    #[serde(default)]
+    pub deferred: Vec<Object>,
     /// Time since each feed was last confirmed to be current; none if never.
     pub age: [Option<Ms>; Feed::COUNT],
 }
@@ -49,8 +51,32 @@
     history_floor: Version,
     /// End of the grace period, during which targets removed by an outage are kept.
     grace_until: Time,
-    /// Removals deferred by the grace period: their version, and when they apply.
-    deferred: BTreeMap<ObjectKey, (Version, Time)>,
+    /// Changes that wait: removals by an outage, and what an older copy of the store
+    /// says. Each applies at its time, unless the object is written again.
+    deferred: BTreeMap<ObjectKey, Deferred>,
+}
+
+/// Grace period for targets to register again after an outage of the platform. The
+/// platform guarantees that they do within 2 s.
+const GRACE_PERIOD: Ms = Ms(2200);
+
+/// A change that waits.
+#[derive(Debug, Clone)]
+struct Deferred {
+    object: Object,
+    until: Time,
+    /// Whether the feed must be confirmed after that time: what is written again may
+    /// not have reached this VM before.
+    needs_confirmation: bool,
+}
+
+impl FeedState {
+    /// Whether a peer's object is one that this VM holds back: it comes from an older
+    /// copy of the store.
+    fn holds_back(&self, object: &Object) -> bool {
+        let waiting = self.deferred.get(&object.key);
+        waiting.is_some_and(|d| d.needs_confirmation && d.object.version >= object.version)
+    }
 }
 
 /// A replica of the store's objects.
@@ -95,10 +121,11 @@
     }
 
     /// Revision up to which each feed is complete, as exchanged with peers. It is
-    /// below any deferred removal, so that peers still send and receive that removal.
+    /// below any deferred change, so that peers still send and receive that change.
     pub fn revisions(&self) -> [Version; Feed::COUNT] {
         let complete = |state: &FeedState| {
-            let deferred = state.deferred.values().map(|(version, _)| version).min();
+            let in_grace = state.deferred.values().filter(|d| !d.needs_confirmation);
+            let deferred = in_grace.map(|d| d.object.version).min();
             let below = deferred.map(|v| Version(v.0.saturating_sub(1)));
             below.map_or(state.revision, |v| v.min(state.revision))
         };
@@ -166,27 +193,130 @@
         list: Vec<Object>,
         revision: Version,
     ) -> Vec<Object> {
-        let known = self
-            .catalogue
-            .objects()
-            .filter(|o| Feed::of(&o.key) == Some(feed) && o.body != Body::Removed);
+        if self.is_outdated(feed, revision) {
+            return Vec::new();
+        }
+        if self.is_new_era(feed, revision) || self.is_older_config(feed, &list) {
+            let changed = self.apply_copy(now, feed, list, revision);
+            self.confirm(now, feed, revision);
+            return changed;
+        }
+        let absent = self.absent_keys(feed, &list);
+        let deferred = &mut self.feeds[feed as usize].deferred;
         let listed: BTreeSet<&ObjectKey> = list.iter().map(|o| &o.key).collect();
-        let absent = known.map(|o| &o.key).filter(|key| !listed.contains(key));
-        let absent: Vec<ObjectKey> = absent.cloned().collect();
-        let removals = absent.into_iter().map(|key| removed(key, revision));
+        deferred.retain(|key, d| d.object.body == Body::Removed || listed.contains(key));
+        let deferred = &self.feeds[feed as usize].deferred;
+        let waits = |o: &Object| {
+            deferred
+                .get(&o.key)
+                .is_some_and(|d| d.object.version >= o.version)
+        };
+        let list: Vec<Object> = list.into_iter().filter(|o| !waits(o)).collect();
+        let config = config_number(&list);
+        let removals = absent.into_iter().map(|key| Object {
+            change: config,
+            ..removed(key, revision)
+        });
         // A watch of the routes returns all of them without gaps in their history. An
         // object with an unchanged body then keeps its version, so that it is not sent
-        // to peers again.
+        // to peers again, unless that version is of an era before.
         let watched = feed == Feed::Routes && self.feeds[feed as usize].history_floor < revision;
         let unchanged = |o: &Object| {
             let known = self.catalogue.get(&o.key);
-            watched && known.is_some_and(|k| k.body == o.body)
+            let same_era = |k: &Object| k.version.era() == o.version.era();
+            watched && known.is_some_and(|k| k.body == o.body && same_era(k))
         };
         let list = list.into_iter().filter(|o| !unchanged(o));
         let changes = removals.chain(list).collect();
         self.apply_changes(now, feed, changes, revision)
     }
 
+    /// Keys of a feed's objects that a complete list lacks, without those whose
+    /// removal waits.
+    fn absent_keys(&self, feed: Feed, list: &[Object]) -> Vec<ObjectKey> {
+        let listed: BTreeSet<&ObjectKey> = list.iter().map(|o| &o.key).collect();
+        let waits = &self.feeds[feed as usize].deferred;
+        let is_absent = |o: &&Object| {
+            let removal_waits = waits
+                .get(&o.key)
+                .is_some_and(|d| d.object.body == Body::Removed);
+            Feed::of(&o.key) == Some(feed)
+                && o.body != Body::Removed
+                && !listed.contains(&o.key)
+                && !removal_waits
+        };
+        let absent = self.catalogue.objects().filter(is_absent);
+        absent.map(|o| o.key.clone()).collect()
+    }
+
+    /// The store's era, as far as it is known.
+    pub fn era(&self) -> u16 {
+        let eras = self.feeds.iter().map(|f| f.revision.era());
+        eras.max().unwrap_or(0)
+    }
+
+    /// Whether a result of the store belongs to an era that has ended.
+    pub fn is_outdated(&self, feed: Feed, revision: Version) -> bool {
+        revision.era() < self.feeds[feed as usize].revision.era()
+    }
+
+    /// Whether a result of the store is the first of a new era.
+    pub fn is_new_era(&self, feed: Feed, revision: Version) -> bool {
+        let known = self.revision(feed);
+        known.is_some_and(|known| revision.era() > known.era())
+    }
+
+    /// Whether a list of the routes is of an older configuration than the known one.
+    fn is_older_config(&self, feed: Feed, list: &[Object]) -> bool {
+        let in_feed = |o: &&Object| Feed::of(&o.key) == Some(feed);
+        let known = self.catalogue.objects().filter(in_feed).map(|o| o.change);
+        let is_config = feed == Feed::Routes && !list.is_empty();
+        is_config && Some(config_number(list)) < known.max()
+    }
+
+    /// Applies a complete list of a feed's objects from an older copy of the store. What
+    /// the copy says otherwise is deferred where that may have been lost.
+    fn apply_copy(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        list: Vec<Object>,
+        revision: Version,
+    ) -> Vec<Object> {
+        let config = config_number(&list);
+        let state = &mut self.feeds[feed as usize];
+        if feed == Feed::Hosts {
+            // Their entries may also lapse, since leases of the lost time are gone.
+            state.grace_until = state.grace_until.max(now + GRACE_PERIOD);
+        }
+        state.deferred.clear();
+        let absent = self.absent_keys(feed, &list);
+        let removals = absent.into_iter().map(|key| removed(key, revision));
+        let mut changed = Vec::new();
+        for object in removals.collect::<Vec<Object>>().into_iter().chain(list) {
+            let listed = Some(&object).filter(|o| o.body != Body::Removed);
+            let known = self.catalogue.entry(&object.key);
+            match known.map(|known| decide(known, listed, config)) {
+                Some(CopyDecision::Hold(time)) => {
+                    let waiting = Deferred {
+                        object: object.clone(),
+                        until: now + time,
+                        needs_confirmation: true,
+                    };
+                    let deferred = &mut self.feeds[feed as usize].deferred;
+                    deferred.insert(object.key, waiting);
+                }
+                _ => changed.extend(self.merge(object)),
+            }
+        }
+        changed
+    }
+
+    /// Number of changes that wait.
+    pub fn deferred_changes(&self) -> usize {
+        self.feeds.iter().map(|f| f.deferred.len()).sum()
+    }
+
     /// Records that a feed was listed at `revision` instead of watched: objects that
     /// were created and removed before it may never have been seen.
     pub fn raise_history_floor(&mut self, feed: Feed, revision: Version) {
@@ -202,6 +332,9 @@
         list: Vec<Object>,
         revision: Version,
     ) -> Vec<Object> {
+        if self.is_outdated(feed, revision) {
+            return Vec::new();
+        }
         let mut changed = Vec::new();
         for object in list {
             if object.body == Body::Removed {
@@ -221,18 +354,26 @@
         state.confirmed_at = state.confirmed_at.max(Some(now));
     }
 
-    /// When the next deferred removal is due.
-    pub fn next_deferred_removal(&self) -> Option<Time> {
+    /// When the next deferred change is due.
+    pub fn next_deferred_change(&self) -> Option<Time> {
         let deferred = self.feeds.iter().flat_map(|f| f.deferred.values());
-        deferred.map(|(_, until)| *until).min()
+        deferred.map(|d| d.until).min()
     }
 
-    /// Applies deferred removals whose grace period has ended. Returns them.
-    pub fn apply_due_removals(&mut self, now: Time, feed: Feed) -> Vec<Object> {
-        let deferred = &mut self.feeds[feed as usize].deferred;
-        let due = deferred.iter().filter(|(_, (_, until))| *until <= now);
-        let due: Vec<Object> = due.map(|(key, (v, _))| removed(key.clone(), *v)).collect();
-        deferred.retain(|_, (_, until)| *until > now);
+    /// Applies deferred changes whose time has come. Returns them.
+    pub fn apply_due_changes(&mut self, now: Time, feed: Feed) -> Vec<Object> {
+        let state = &mut self.feeds[feed as usize];
+        let confirmed = state.confirmed_at;
+        let is_due =
+            |d: &Deferred| d.until <= now && (!d.needs_confirmation || confirmed > Some(d.until));
+        let due = state.deferred.values().filter(|d| is_due(d));
+        let from_copy = due.clone().any(|d| d.needs_confirmation);
+        let due: Vec<Object> = due.map(|d| d.object.clone()).collect();
+        state.deferred.retain(|_, d| !is_due(d));
+        if from_copy {
+            // Peers know this revision already, so only a complete update tells them.
+            state.history_floor = state.history_floor.max(Version(state.revision.0 + 1));
+        }
         due.into_iter().filter_map(|o| self.merge(o)).collect()
     }
 
@@ -255,7 +396,16 @@
         let state = &mut self.feeds[feed as usize];
         if feed == Feed::Hosts && known.is_some() && now < state.grace_until {
             let until = state.grace_until;
-            state.deferred.entry(key).or_insert((version, until));
+            let waits = state.deferred.get(&key);
+            if waits.is_none_or(|d| d.object.body != Body::Removed) {
+                let removal = removed(key.clone(), version);
+                let waiting = Deferred {
+                    object: removal,
+                    until,
+                    needs_confirmation: false,
+                };
+                state.deferred.insert(key, waiting);
+            }
             return None;
         }
         self.merge(removed(key, version))
@@ -300,9 +450,15 @@
     pub fn update_since(&self, now: Time, from: &[Version; Feed::COUNT]) -> ReplicaUpdate {
         let keys: BTreeSet<&ObjectKey> = self.changed_keys(from).collect();
         let objects = keys.iter().filter_map(|key| self.catalogue.entry(key));
+        let complete: [bool; Feed::COUNT] =
+            std::array::from_fn(|i| from[i] < self.feeds[i].history_floor);
+        let told = self.feeds.iter().zip(complete).filter(|(_, all)| *all);
+        let waiting = told.flat_map(|(state, _)| state.deferred.values());
+        let held = waiting.filter(|d| d.needs_confirmation);
         ReplicaUpdate {
             objects: objects.cloned().collect(),
-            complete: std::array::from_fn(|i| from[i] < self.feeds[i].history_floor),
+            complete,
+            deferred: held.map(|d| d.object.clone()).collect(),
             revisions: self.revisions(),
             age: std::array::from_fn(|i| self.feeds[i].confirmed_at.map(|at| now.since(at))),
         }
@@ -310,7 +466,9 @@
 
     /// Applies a peer's update. Returns the objects that changed.
     pub fn apply_update(&mut self, now: Time, update: ReplicaUpdate) -> Vec<Object> {
-        let mut changed = Vec::new();
+        let mut update = update;
+        let mut changed = self.apply_new_eras(now, &mut update);
+        let waiting = std::mem::take(&mut update.deferred);
         let present = update.objects.iter().filter(|u| u.body != Body::Removed);
         let listed: BTreeSet<&ObjectKey> = present.map(|u| &u.key).collect();
         let absent = |o: &&Object| {
@@ -319,7 +477,8 @@
                 let revision = update.revisions[i];
                 update.complete[i] && o.version <= revision && self.feeds[i].revision <= revision
             });
-            covered && o.body != Body::Removed && !listed.contains(&o.key)
+            let waits = feed.is_some_and(|i| self.feeds[i].deferred.contains_key(&o.key));
+            covered && o.body != Body::Removed && !listed.contains(&o.key) && !waits
         };
         let absent: Vec<Object> = self.catalogue.objects().filter(absent).cloned().collect();
         for object in absent {
@@ -330,10 +489,17 @@
             // An update older than the replica answers a request that was sent before
             // the replica advanced, and is ignored.
             let feed = Feed::of(&object.key).map(|f| f as usize);
-            if feed.is_some_and(|i| update.revisions[i] >= self.feeds[i].revision) {
+            let applies = feed.is_some_and(|i| {
+                let state = &self.feeds[i];
+                update.revisions[i] >= state.revision && !state.holds_back(&object)
+            });
+            if applies {
                 changed.extend(self.merge(object));
             }
         }
+        for object in waiting {
+            self.defer(now, object);
+        }
         for feed in Feed::ALL {
             let i = feed as usize;
             let state = &mut self.feeds[i];
@@ -354,6 +520,81 @@
         changed
     }
 
+    /// Applies the feeds of a peer's update in which a new era begins, and takes them
+    /// out of the update.
+    fn apply_new_eras(&mut self, now: Time, update: &mut ReplicaUpdate) -> Vec<Object> {
+        let mut changed = Vec::new();
+        for feed in Feed::ALL {
+            let i = feed as usize;
+            let revision = update.revisions[i];
+            if !update.complete[i] || !self.is_new_era(feed, revision) {
+                continue;
+            }
+            let in_feed = |o: &Object| Feed::of(&o.key) == Some(feed);
+            let objects = std::mem::take(&mut update.objects);
+            let (objects, rest) = objects.into_iter().partition(in_feed);
+            update.objects = rest;
+            update.complete[i] = false;
+            let waiting = update.deferred.iter().filter(|o| in_feed(o));
+            let waiting: Vec<Object> = waiting.cloned().collect();
+            changed.extend(self.apply_peer_copy(now, feed, objects, waiting, revision));
+            let state = &mut self.feeds[i];
+            state.history_floor = state.history_floor.max(revision);
+        }
+        changed
+    }
+
+    /// Applies a feed's objects as a peer knows them in a new era. `waiting` are those
+    /// of the copy that the peer holds back; this VM decides on them itself.
+    fn apply_peer_copy(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        objects: Vec<Object>,
+        waiting: Vec<Object>,
+        revision: Version,
+    ) -> Vec<Object> {
+        let is_new = |o: &Object| o.version.era() == revision.era();
+        let (new, held): (Vec<Object>, Vec<Object>) = objects.into_iter().partition(is_new);
+        let mut changed = Vec::new();
+        for object in &held {
+            changed.extend(self.merge(object.clone()));
+        }
+        let (removals, mut copy): (Vec<Object>, Vec<Object>) =
+            new.into_iter().partition(|o| o.body == Body::Removed);
+        copy.extend(held.into_iter().filter(|o| o.body != Body::Removed));
+        copy.retain(|o| waiting.iter().all(|w| w.key != o.key));
+        copy.extend(waiting.into_iter().filter(|o| o.body != Body::Removed));
+        changed.extend(self.apply_copy(now, feed, copy, revision));
+        // Removals that the peer has decided on stand.
+        for removal in removals {
+            changed.extend(self.merge(removal));
+        }
+        changed
+    }
+
+    /// Holds back what a peer holds back of a copy of the store, for as long as this
+    /// VM would.
+    fn defer(&mut self, now: Time, object: Object) {
+        let Some(feed) = Feed::of(&object.key) else {
+            return;
+        };
+        let known = self.catalogue.entry(&object.key);
+        let Some(known) = known.filter(|k| k.version < object.version) else {
+            return;
+        };
+        let listed = Some(&object).filter(|o| o.body != Body::Removed);
+        if let CopyDecision::Hold(time) = decide(known, listed, object.change) {
+            let waiting = Deferred {
+                object: object.clone(),
+                until: now + time,
+                needs_confirmation: true,
+            };
+            let deferred = &mut self.feeds[feed as usize].deferred;
+            deferred.entry(object.key).or_insert(waiting);
+        }
+    }
+
     /// Drops the oldest tombstones above the limit.
     pub fn prune_tombstones(&mut self) {
         let floor = self.catalogue.prune_removed(TOMBSTONES_MAX);
@@ -367,6 +608,11 @@
     }
 }
 
+/// Number of the configuration that a list of the routes is of.
+fn config_number(list: &[Object]) -> u64 {
+    list.iter().map(|o| o.change).max().unwrap_or(0)
+}
+
 fn removed(key: ObjectKey, version: Version) -> Object {
     Object {
         key,
--- /dev/null
+++ b/burdocklever/tests/era.rs
@@ -0,0 +1,277 @@
+//! A store that comes back from an older copy: what stays in force, and for how long.
+//! One test for each cell of the table in docs/DESIGN.md.
+
+use burdocklever::{decide, CopyDecision, Feed, Ms, Replica, Time};
+use wire::{
+    Body, DomainState, Host, HostId, Incarnation, Lifecycle, Object, ObjectKey, Route, Version,
+};
+
+const NOW: Time = Time(1_000_000);
+const HOST_HOLD: CopyDecision = CopyDecision::Hold(Ms(3000));
+const OPERATOR_HOLD: CopyDecision = CopyDecision::Hold(Ms(15_000));
+const APPLY: CopyDecision = CopyDecision::Apply;
+
+fn object(kind: &str, name: &str, version: Version, change: u64, body: Body) -> Object {
+    Object {
+        key: ObjectKey::new(kind, name),
+        version,
+        change,
+        body,
+    }
+}
+
+fn host(version: Version, incarnation: u64, state: Lifecycle) -> Object {
+    let host = Host {
+        id: HostId(1),
+        service: "ledger".parse().unwrap(),
+        domain: "accra".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        state,
+        incarnation: Incarnation(incarnation),
+        cold_ms: 0,
+        slots: 2,
+    };
+    object("host", "1", version, 0, Body::Host(host))
+}
+
+fn route(version: Version, config: u64, goal_ms: u64) -> Object {
+    let route = Route {
+        address: "198.18.0.1:443".parse().unwrap(),
+        shares: Vec::new(),
+        non_idempotent: false,
+        priority: 1,
+        deadline_ms: 2000,
+        goal_ms,
+    };
+    object("route", "main", version, config, Body::Route(route))
+}
+
+fn domain(version: Version) -> Object {
+    let state = DomainState::Out;
+    object("domain", "accra", version, 0, Body::Domain { state })
+}
+
+fn gone(mut object: Object, version: Version) -> Object {
+    (object.body, object.version) = (Body::Removed, version);
+    object
+}
+
+/// A version before the loss, and one in the era after it.
+fn old(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
+fn new(revision: u64) -> Version {
+    Version::new(1, revision)
+}
+
+#[test]
+fn versions_are_ordered_by_era_then_by_revision() {
+    assert!(new(1) > old(1_000_000));
+    assert!(new(2) > new(1));
+    assert_eq!((new(7).era(), new(7).revision()), (1, 7));
+    assert_eq!(old(7), Version(7), "a store without eras is in era 0");
+    assert_eq!(Version::new(1, u64::MAX).era(), 1);
+}
+
+#[test]
+fn an_object_that_is_the_same_in_the_copy_applies() {
+    let known = host(old(50), 1, Lifecycle::Live);
+    let copy = host(new(50), 1, Lifecycle::Live);
+    assert_eq!(decide(&known, Some(&copy), 0), APPLY);
+    let known = gone(known, old(60));
+    assert_eq!(decide(&known, None, 0), APPLY);
+}
+
+#[test]
+fn an_object_that_the_copy_has_written_later_applies() {
+    let known = host(old(50), 1, Lifecycle::Live);
+    let copy = host(new(51), 1, Lifecycle::Leaving);
+    assert_eq!(decide(&known, Some(&copy), 0), APPLY);
+    assert_eq!(decide(&domain(old(50)), Some(&domain(new(51))), 0), APPLY);
+    let number_given_again = host(new(50), 1, Lifecycle::Leaving);
+    assert_eq!(decide(&known, Some(&number_given_again), 0), APPLY);
+}
+
+#[test]
+fn a_target_that_came_in_the_lost_seconds_is_kept_until_it_had_time_to_register() {
+    let known = host(old(50), 1, Lifecycle::Live);
+    assert_eq!(decide(&known, None, 0), HOST_HOLD);
+}
+
+#[test]
+fn a_target_that_began_to_leave_in_the_lost_seconds_gets_no_flows_again() {
+    let known = host(old(50), 1, Lifecycle::Leaving);
+    let copy = host(new(40), 1, Lifecycle::Live);
+    assert_eq!(decide(&known, Some(&copy), 0), HOST_HOLD);
+}
+
+#[test]
+fn a_target_that_leaves_or_starts_again_after_the_loss_applies_at_once() {
+    let known = host(old(50), 1, Lifecycle::Live);
+    let leaves = host(new(45), 1, Lifecycle::Leaving);
+    assert_eq!(decide(&known, Some(&leaves), 0), APPLY);
+    let again = host(new(45), 2, Lifecycle::Live);
+    assert_eq!(decide(&known, Some(&again), 0), APPLY);
+    let earlier = host(new(45), 0, Lifecycle::Live);
+    assert_eq!(decide(&known, Some(&earlier), 0), HOST_HOLD);
+}
+
+#[test]
+fn a_target_that_left_in_the_lost_seconds_is_not_used_again() {
+    let known = gone(host(old(50), 1, Lifecycle::Live), old(50));
+    let copy = host(new(40), 1, Lifecycle::Live);
+    assert_eq!(decide(&known, Some(&copy), 0), OPERATOR_HOLD);
+}
+
+#[test]
+fn an_evacuation_of_the_lost_seconds_stays_in_force() {
+    assert_eq!(decide(&domain(old(50)), None, 0), OPERATOR_HOLD);
+}
+
+#[test]
+fn an_evacuation_that_was_lifted_in_the_lost_seconds_does_not_return() {
+    let known = gone(domain(old(50)), old(50));
+    assert_eq!(decide(&known, Some(&domain(new(40))), 0), OPERATOR_HOLD);
+}
+
+#[test]
+fn routes_follow_the_number_of_the_configuration() {
+    let known = route(old(50), 7, 150);
+    let copy = route(new(40), 6, 300);
+    assert_eq!(decide(&known, Some(&copy), 6), OPERATOR_HOLD);
+    assert_eq!(decide(&known, None, 6), OPERATOR_HOLD);
+    assert_eq!(decide(&known, Some(&copy), 7), APPLY);
+    assert_eq!(decide(&known, None, 8), APPLY);
+}
+
+/// Applies a list of the routes of one configuration.
+fn list_routes(replica: &mut Replica, now: Time, list: Vec<Object>) -> Vec<Object> {
+    let revision = list[0].version;
+    replica.raise_history_floor(Feed::Routes, revision);
+    replica.apply_list(now, Feed::Routes, list, revision)
+}
+
+fn goal(replica: &Replica) -> u64 {
+    let key = ObjectKey::new("route", "main");
+    match replica.catalogue().get(&key).map(|o| &o.body) {
+        Some(Body::Route(route)) => route.goal_ms,
+        other => panic!("no route: {other:?}"),
+    }
+}
+
+#[test]
+fn a_lost_configuration_stays_in_force_until_it_is_written_again() {
+    let mut replica = Replica::default();
+    list_routes(&mut replica, NOW, vec![route(old(50), 7, 150)]);
+    let changed = list_routes(&mut replica, NOW, vec![route(new(40), 6, 300)]);
+    assert_eq!((changed.len(), goal(&replica)), (0, 150));
+    assert_eq!(replica.era(), 1);
+    // The number 50 is given out again.
+    list_routes(&mut replica, NOW, vec![route(new(50), 7, 150)]);
+    replica.confirm(NOW + Ms(20_000), Feed::Routes, new(50));
+    assert_eq!(
+        replica.apply_due_changes(NOW + Ms(20_000), Feed::Routes),
+        []
+    );
+    assert_eq!(goal(&replica), 150);
+    list_routes(&mut replica, NOW, vec![route(new(51), 8, 500)]);
+    assert_eq!(goal(&replica), 500);
+}
+
+#[test]
+fn a_lost_configuration_that_nobody_writes_again_ends() {
+    let mut replica = Replica::default();
+    list_routes(&mut replica, NOW, vec![route(old(50), 7, 150)]);
+    list_routes(&mut replica, NOW, vec![route(new(40), 6, 300)]);
+    let end = NOW + Ms(15_000);
+    assert_eq!(replica.apply_due_changes(end, Feed::Routes), []);
+    // Not before the store has confirmed that nothing was written meanwhile.
+    replica.confirm(end, Feed::Routes, new(41));
+    assert_eq!(replica.apply_due_changes(end, Feed::Routes), []);
+    replica.confirm(end + Ms(1), Feed::Routes, new(41));
+    assert_eq!(
+        replica.apply_due_changes(end + Ms(1), Feed::Routes).len(),
+        1
+    );
+    assert_eq!(goal(&replica), 300);
+}
+
+#[test]
+fn an_answer_of_an_era_that_has_ended_changes_nothing() {
+    let mut replica = Replica::default();
+    replica.apply_list(NOW, Feed::Domains, vec![domain(new(5))], new(9));
+    let late = NOW + Ms(1000);
+    assert_eq!(replica.apply_list(late, Feed::Domains, vec![], old(90)), []);
+    assert_eq!(
+        replica.apply_changes(late, Feed::Domains, vec![domain(old(91))], old(91)),
+        []
+    );
+    assert_eq!(replica.confirmed_at(Feed::Domains), Some(NOW));
+    assert_eq!(replica.revision(Feed::Domains), Some(new(9)));
+}
+
+#[test]
+fn a_peer_of_the_era_before_moves_nothing_back() {
+    let mut replica = Replica::default();
+    replica.apply_list(NOW, Feed::Domains, vec![], new(9));
+    let mut behind = Replica::default();
+    behind.raise_history_floor(Feed::Domains, old(90));
+    behind.apply_list(NOW, Feed::Domains, vec![domain(old(80))], old(90));
+    let update = behind.update_since(NOW, &replica.revisions());
+    assert_eq!(replica.apply_update(NOW + Ms(500), update), []);
+    assert_eq!(replica.confirmed_at(Feed::Domains), Some(NOW));
+}
+
+/// A peer that never heard of the lost change must not undo it at a VM that has.
+#[test]
+fn a_change_that_only_some_vms_heard_of_stays_in_force_at_those() {
+    let mut knows = Replica::default();
+    list_routes(&mut knows, NOW, vec![route(old(50), 7, 150)]);
+    let mut reader = Replica::default();
+    list_routes(&mut reader, NOW, vec![route(old(40), 6, 300)]);
+    list_routes(&mut reader, NOW, vec![route(new(40), 6, 300)]);
+    let update = reader.update_since(NOW, &knows.revisions());
+    assert_eq!(knows.apply_update(NOW, update), []);
+    assert_eq!((goal(&knows), goal(&reader)), (150, 300));
+    let update = reader.update_since(NOW, &knows.revisions());
+    assert_eq!(
+        knows.apply_update(NOW, update),
+        [],
+        "nor by a second answer"
+    );
+    list_routes(&mut reader, NOW, vec![route(new(44), 7, 150)]);
+    knows.apply_update(NOW, reader.update_since(NOW, &knows.revisions()));
+    assert_eq!((goal(&knows), goal(&reader)), (150, 150));
+}
+
+/// A VM that starts meanwhile takes over what is held back, with its end.
+#[test]
+fn a_vm_that_starts_takes_over_what_its_peer_holds_back() {
+    let mut peer = Replica::default();
+    list_routes(&mut peer, NOW, vec![route(old(50), 7, 150)]);
+    list_routes(&mut peer, NOW, vec![route(new(40), 6, 300)]);
+    let mut starts = Replica::default();
+    starts.apply_update(NOW, peer.update_since(NOW, &starts.revisions()));
+    assert_eq!((goal(&starts), starts.deferred_changes()), (150, 1));
+    let end = NOW + Ms(15_001);
+    starts.confirm(end, Feed::Routes, new(41));
+    starts.apply_due_changes(end, Feed::Routes);
+    assert_eq!(goal(&starts), 300);
+}
+
+#[test]
+fn what_ends_at_one_vm_reaches_peers_that_do_not_hold_it() {
+    let mut peer = Replica::default();
+    list_routes(&mut peer, NOW, vec![route(old(50), 7, 150)]);
+    list_routes(&mut peer, NOW, vec![route(new(40), 6, 300)]);
+    let mut other = Replica::default();
+    let mut update = peer.update_since(NOW, &other.revisions());
+    update.deferred.clear();
+    other.apply_update(NOW, update);
+    let end = NOW + Ms(15_001);
+    peer.confirm(end, Feed::Routes, new(40));
+    peer.apply_due_changes(end, Feed::Routes);
+    other.apply_update(end, peer.update_since(end, &other.revisions()));
+    assert_eq!(goal(&other), 300);
+}
--- a/burdocklever/tests/replica.rs
+++ b/burdocklever/tests/replica.rs
@@ -78,15 +78,15 @@
     assert_eq!(names(&changed), [""; 0]);
     replica.apply_changes(NOW + Ms(1000), HOSTS, vec![host(1, 9)], Version(9));
     assert_eq!(
-        names(&replica.apply_due_removals(NOW + Ms(2199), HOSTS)),
+        names(&replica.apply_due_changes(NOW + Ms(2199), HOSTS)),
         [""; 0]
     );
     assert_eq!(
-        names(&replica.apply_due_removals(NOW + Ms(2200), HOSTS)),
+        names(&replica.apply_due_changes(NOW + Ms(2200), HOSTS)),
         ["-2"]
     );
     assert_eq!(
-        names(&replica.apply_due_removals(NOW + Ms(2300), HOSTS)),
+        names(&replica.apply_due_changes(NOW + Ms(2300), HOSTS)),
         [""; 0]
     );
 }
@@ -293,7 +293,7 @@
     // The reader applies it as well: the outage did not affect all VMs.
     let learned = reader.apply_update(NOW, other.update_since(NOW, &reader.revisions()));
     assert_eq!(names(&learned), ["-1"]);
-    assert_eq!(reader.next_deferred_removal(), None);
+    assert_eq!(reader.next_deferred_change(), None);
 }
 
 #[test]
@@ -305,7 +305,7 @@
     reader.apply_changes(NOW, HOSTS, vec![removed(1, 7), host(3, 8)], Version(8));
     peer.apply_update(NOW, reader.update_since(NOW, &peer.revisions()));
     let later = NOW + Ms(2200);
-    assert_eq!(names(&reader.apply_due_removals(later, HOSTS)), ["-1"]);
+    assert_eq!(names(&reader.apply_due_changes(later, HOSTS)), ["-1"]);
     let learned = peer.apply_update(later, reader.update_since(later, &peer.revisions()));
     assert_eq!(names(&learned), ["-1"]);
 }
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::network::environment;
-use crate::store::Store;
+use crate::store::{Content, Store};
 
 /// Time after a disruption during which a VM's view may be late.
 const TOUCH: Duration = Duration::from_millis(5000);
@@ -25,6 +25,9 @@
 /// cut off meanwhile.
 const GRACE: Duration = Duration::from_millis(4500);
 
+/// Time after which the entry of a target that has left lapses.
+const LAPSE_TIME: Duration = Duration::from_millis(4000);
+
 /// Sizes of a fleet and of what it knows.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -49,6 +52,12 @@
     Ageless,
     /// Peers leave out that objects were removed.
     Immortal,
+    /// The store's era is not read.
+    NoEra,
+    /// The era is read for pages, but not for their objects.
+    EraOfPages,
+    /// Configurations have no number.
+    Unnumbered,
 }
 
 /// State of one VM as the network sees it.
@@ -89,11 +98,28 @@
     pub(crate) known: Mutex<HashMap<Address, (usize, Arc<ControlState>)>>,
     /// What each VM was told of each object.
     pub(crate) seen: Mutex<Vec<HashMap<ObjectKey, Version>>>,
+    /// Writes of each object: the version, and the position among what operators and
+    /// targets wrote. A write that was lost and made again keeps its position.
+    pub(crate) history: Mutex<HashMap<ObjectKey, Vec<(Version, usize)>>>,
+    /// Position that each VM has reached.
+    pub(crate) reached: Mutex<Vec<HashMap<ObjectKey, usize>>>,
     pub(crate) events: Mutex<u64>,
     pub(crate) broken: Mutex<Vec<String>>,
     pub(crate) flaw: Flaw,
 }
 
+impl World {
+    /// Position of an object among what operators and targets wrote. A copy of the
+    /// store tells the object's old revision in the new era.
+    pub(crate) fn position(&self, object: &Object) -> Option<usize> {
+        let history = lock(&self.history);
+        let told = object.version;
+        let writes = history.get(&object.key)?.iter();
+        let same = writes.filter(|(v, _)| v.revision() == told.revision() && *v <= told);
+        same.max_by_key(|(v, _)| *v).map(|(_, position)| *position)
+    }
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
@@ -111,6 +137,14 @@
     hosts: Vec<u64>,
     /// Whether the fleet starts for the first time.
     first: bool,
+    /// Number of the last configuration.
+    config: u64,
+    /// Position of the next write among all.
+    next_position: usize,
+    /// A copy of the store's content, and the number of changes in it.
+    copy: Option<(Content, usize)>,
+    /// Lost writes and when they are made again.
+    rewrites: Vec<(Instant, Object)>,
 }
 
 fn domain(n: u32) -> DomainId {
@@ -177,12 +211,13 @@
             cold_ms: 2000,
             cold_rate: 5,
         };
-        store.put(ObjectKey::new("pool", "ledger"), Body::Pool(pool));
+        store.put(ObjectKey::new("pool", "ledger"), Body::Pool(pool), 0);
         for n in 0..plan.routes {
-            store.put(ObjectKey::new("route", n), route(n, 150));
+            store.put(ObjectKey::new("route", n), route(n, 150), 0);
         }
         for id in 1..=plan.targets {
-            store.put(ObjectKey::new("host", id), host(&plan, id, Lifecycle::Live));
+            let body = host(&plan, id, Lifecycle::Live);
+            store.put(ObjectKey::new("host", id), body, 0);
         }
         let count = plan.vms as usize;
         let world = World {
@@ -192,6 +227,8 @@
             costs: Mutex::new(vec![Cost::default(); count]),
             known: Mutex::default(),
             seen: Mutex::new(vec![HashMap::new(); count]),
+            history: Mutex::default(),
+            reached: Mutex::new(vec![HashMap::new(); count]),
             events: Mutex::new(0),
             broken: Mutex::default(),
             flaw,
@@ -206,6 +243,10 @@
             next_host: plan.targets,
             hosts: (1..=plan.targets).collect(),
             first: true,
+            config: 0,
+            next_position: 0,
+            copy: None,
+            rewrites: Vec::new(),
         };
         fleet.start_all().await;
         fleet.first = false;
@@ -228,6 +269,7 @@
         let life = self.world.begun.elapsed().as_millis() as u64 + 2;
         let own = entry(&self.plan, i as u32, life);
         lock(&self.world.seen)[i].clear();
+        lock(&self.world.reached)[i].clear();
         lock(&self.world.lines)[i] = Line {
             up: true,
             disturbed: Some(Instant::now()),
@@ -323,7 +365,24 @@
                 }
             }
         };
-        let object = lock(&self.world.store).put(key, body);
+        if Feed::of(&key) == Some(Feed::Routes) {
+            self.config += 1;
+            // Operators write whole configurations, so those lost come with this one.
+            let is_route = |object: &Object| Feed::of(&object.key) == Some(Feed::Routes);
+            self.rewrite(|_, object| is_route(object));
+        }
+        self.rewrites.retain(|(_, waiting)| waiting.key != key);
+        let position = self.next_position;
+        self.next_position += 1;
+        self.write(key, body, self.config, position);
+    }
+
+    fn write(&mut self, key: ObjectKey, body: Body, config: u64, position: usize) {
+        let object = lock(&self.world.store).put(key, body, config);
+        let mut history = lock(&self.world.history);
+        let writes = history.entry(object.key.clone()).or_default();
+        writes.push((object.version, position));
+        drop(history);
         self.pending.push(self.changes.len());
         self.changes.push(Change {
             at: Instant::now(),
@@ -331,11 +390,65 @@
         });
     }
 
+    /// Keeps a copy of the store's content.
+    pub fn copy_store(&mut self) {
+        let content = lock(&self.world.store).content.clone();
+        self.copy = Some((content, self.changes.len()));
+    }
+
+    /// The store comes back from the last copy. What was written since is lost, and
+    /// written again within 2 s; entries of targets that have left lapse after 4 s.
+    pub fn restore_store(&mut self) {
+        let Some((content, first)) = self.copy.take() else {
+            return;
+        };
+        lock(&self.world.store).restore(content);
+        for i in 0..self.vms.len() {
+            self.disturb(i, |_| {});
+        }
+        self.pending.retain(|at| *at < first);
+        let lost: Vec<Object> = self.changes[first..]
+            .iter()
+            .map(|c| c.object.clone())
+            .collect();
+        let soon = Instant::now() + Duration::from_millis(self.rng.random_range(100..2000));
+        let is_last = |n: usize| lost[n + 1..].iter().all(|later| later.key != lost[n].key);
+        for (n, object) in lost
+            .iter()
+            .cloned()
+            .enumerate()
+            .filter(|(n, _)| is_last(*n))
+        {
+            let lapses = object.body == Body::Removed;
+            let due = if lapses { soon + LAPSE_TIME } else { soon };
+            self.rewrites
+                .retain(|(_, waiting)| waiting.key != lost[n].key);
+            self.rewrites.push((due, object));
+        }
+    }
+
+    /// Writes again what is due of the lost writes, in their order.
+    fn rewrite(&mut self, is_due: impl Fn(Instant, &Object) -> bool) {
+        let rewrites = std::mem::take(&mut self.rewrites);
+        let (due, rest): (Vec<_>, Vec<_>) =
+            rewrites.into_iter().partition(|(at, o)| is_due(*at, o));
+        self.rewrites = rest;
+        for (_, object) in due {
+            let known = lock(&self.world.store).body(&object.key);
+            if known != object.body {
+                let position = self.world.position(&object).unwrap_or(0);
+                self.write(object.key, object.body, object.change, position);
+            }
+        }
+    }
+
     /// Lets time pass, and checks meanwhile that changes are in force in time.
     pub async fn play(&mut self, time: Duration) {
         let until = Instant::now() + time;
         while Instant::now() < until {
             sleep(Duration::from_millis(50)).await;
+            let now = Instant::now();
+            self.rewrite(|due, _| due <= now);
             self.check();
         }
     }
--- a/model/src/network.rs
+++ b/model/src/network.rs
@@ -5,12 +5,12 @@
 
 use burdocklever::{
     CallFuture, CatalogueReply, CatalogueRequest, Code, ContactList, ControlEvent, Environment, Ms,
-    Time,
+    Page, Time,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
-use wire::{Address, Body};
+use wire::{Address, Body, Object, Version};
 
 use crate::fleet::{lock, Flaw, World};
 use crate::store;
@@ -30,7 +30,8 @@
                 let world = reading.clone();
                 Box::pin(async move {
                     let reaches = || !lock(&world.lines)[i].no_store;
-                    store::read(&world.store, reaches, feed, ask, limit).await
+                    let page = store::read(&world.store, reaches, feed, ask, limit).await;
+                    page.map(|page| flawed_page(page, world.flaw))
                 })
             }),
             read_contacts: Box::new(move |limit| {
@@ -72,7 +73,7 @@
     reach_store(world, i, limit).await?;
     let mut store = lock(&world.store);
     store.calls += store::STALE_CALL_COST;
-    Ok(store.contacts.values().cloned().collect())
+    Ok(store.content.contacts.values().cloned().collect())
 }
 
 async fn write_contacts(
@@ -84,7 +85,7 @@
     reach_store(world, i, limit).await?;
     let mut store = lock(&world.store);
     store.take()?;
-    store.contacts.insert(list.domain.clone(), list);
+    store.content.contacts.insert(list.domain.clone(), list);
     Ok(())
 }
 
@@ -131,24 +132,63 @@
     })
 }
 
+/// What an adapter with a fault makes of a page.
+fn flawed_page(mut page: Page, flaw: Flaw) -> Page {
+    if flaw == Flaw::NoEra {
+        page.revision = Version(page.revision.revision());
+    }
+    for object in &mut page.objects {
+        if matches!(flaw, Flaw::NoEra | Flaw::EraOfPages) {
+            object.version = Version(object.version.revision());
+        }
+        if flaw == Flaw::Unnumbered {
+            object.change = 0;
+        }
+    }
+    page
+}
+
 fn flawed(mut reply: CatalogueReply, flaw: Flaw) -> CatalogueReply {
     let Some(update) = &mut reply.update else {
         return reply;
     };
     match flaw {
-        Flaw::None => {}
+        Flaw::None | Flaw::NoEra | Flaw::EraOfPages | Flaw::Unnumbered => {}
         Flaw::Ageless => update.age = update.age.map(|age| age.map(|_| Ms(0))),
         Flaw::Immortal => update.objects.retain(|o| o.body != Body::Removed),
     }
     reply
 }
 
+/// A VM never returns from what an operator or a target wrote to what was before it.
+fn check_order(world: &World, i: usize, objects: &[Object]) {
+    let mut reached = lock(&world.reached);
+    for object in objects {
+        let Some(at) = world.position(object) else {
+            continue;
+        };
+        let before = reached[i].insert(object.key.clone(), at);
+        if before.is_some_and(|before| before > at) {
+            let back = format!(
+                "vm {i} reverted {} from write {before:?} to {at} at {:?}: version {}.{}, {:?}",
+                object.key,
+                world.begun.elapsed(),
+                object.version.era(),
+                object.version.revision(),
+                object.body,
+            );
+            lock(&world.broken).push(back);
+        }
+    }
+}
+
 /// What a VM learns never takes it back.
 fn hear(world: &World, i: usize, event: ControlEvent<'_>) {
     let ControlEvent::Changed(objects, _) = event else {
         return;
     };
     *lock(&world.events) += objects.len() as u64;
+    check_order(world, i, objects);
     let mut seen = lock(&world.seen);
     for object in objects {
         let before = seen[i].insert(object.key.clone(), object.version);
--- a/model/src/relay.rs
+++ b/model/src/relay.rs
@@ -16,6 +16,8 @@
     pub broken: Vec<String>,
     /// Calls to the store, and those that it refused.
     pub calls: (f64, u64),
+    /// Number of times that the store came back from an older copy.
+    pub eras: u32,
 }
 
 /// Longest fault.
@@ -35,6 +37,8 @@
         fleet.play(Duration::from_secs(6)).await;
         let mut heal: Vec<(u64, usize)> = Vec::new();
         let mut outage = None;
+        let mut copied: Option<u64> = None;
+        let mut eras = 0;
         for now in 0..seconds * 10 {
             for _ in 0..fleet.rng.random_range(0..4) {
                 fleet.change();
@@ -60,6 +64,18 @@
                 fleet.store_down(true);
                 outage = Some(now + fleet.rng.random_range(1..40));
             }
+            match copied {
+                None if fleet.rng.random_range(0..80) == 0 => {
+                    fleet.copy_store();
+                    copied = Some(now + fleet.rng.random_range(5..40));
+                }
+                Some(until) if until <= now => {
+                    fleet.restore_store();
+                    copied = None;
+                    eras += 1;
+                }
+                _ => {}
+            }
             fleet.play(Duration::from_millis(100)).await;
         }
         fleet.store_down(false);
@@ -71,6 +87,7 @@
             events: fleet.events(),
             broken: fleet.broken(),
             calls: fleet.store_calls(),
+            eras,
         }
     })
 }
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -18,13 +18,23 @@
 /// Result of a call.
 pub(crate) type Result<T> = std::result::Result<T, PlatformError>;
 
-/// Content and limits.
-pub(crate) struct Store {
+/// What the store holds.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Content {
     revision: u64,
     objects: BTreeMap<ObjectKey, Object>,
     /// Changes of each feed in their order.
     changes: [Vec<Object>; Feed::COUNT],
+    /// Number of the configuration: operators raise it with each change of a route.
+    config: u64,
     pub(crate) contacts: BTreeMap<DomainId, ContactList>,
+}
+
+/// Content and limits.
+pub(crate) struct Store {
+    pub(crate) content: Content,
+    /// Number of times that the content went back to a copy.
+    pub(crate) era: u16,
     /// Wakes watches of a feed.
     wake: [watch::Sender<u64>; Feed::COUNT],
     /// Calls a second.
@@ -41,10 +51,8 @@
     /// An empty store that takes `rate` reading calls a second.
     pub(crate) fn new(rate: f64) -> Store {
         Store {
-            revision: 0,
-            objects: BTreeMap::new(),
-            changes: Default::default(),
-            contacts: BTreeMap::new(),
+            content: Content::default(),
+            era: 0,
             wake: std::array::from_fn(|_| watch::Sender::new(0)),
             rate,
             calls_left: rate,
@@ -55,25 +63,62 @@
         }
     }
 
-    /// Writes an object, or removes it. Returns it as it is stored.
-    pub(crate) fn put(&mut self, key: ObjectKey, body: Body) -> Object {
-        self.revision += 1;
+    /// Writes an object, or removes it. `config` is the number of the configuration that
+    /// the write belongs to. Returns the object as it is stored.
+    pub(crate) fn put(&mut self, key: ObjectKey, body: Body, config: u64) -> Object {
+        let content = &mut self.content;
+        content.revision += 1;
         let object = Object {
             key: key.clone(),
-            version: Version(self.revision),
-            change: 0,
+            version: Version::new(self.era, content.revision),
+            change: config,
             body,
         };
         let feed = Feed::of(&key).map_or(0, |f| f as usize);
+        if feed == Feed::Routes as usize {
+            content.config = content.config.max(config);
+        }
         match object.body {
-            Body::Removed => self.objects.remove(&key),
-            _ => self.objects.insert(key, object.clone()),
+            Body::Removed => content.objects.remove(&key),
+            _ => content.objects.insert(key, object.clone()),
         };
-        self.changes[feed].push(object.clone());
+        content.changes[feed].push(object.clone());
         self.wake[feed].send_modify(|n| *n += 1);
         object
     }
 
+    /// Goes back to an older copy of the content.
+    pub(crate) fn restore(&mut self, copy: Content) {
+        self.content = copy;
+        self.era += 1;
+        for wake in &self.wake {
+            wake.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// What the store holds of an object.
+    pub(crate) fn body(&self, key: &ObjectKey) -> Body {
+        let known = self.content.objects.get(key);
+        known.map_or(Body::Removed, |o| o.body.clone())
+    }
+
+    /// An object as it is returned: its version is told in the current era.
+    fn told(&self, object: &Object) -> Object {
+        let config = match Feed::of(&object.key) {
+            Some(Feed::Routes) => self.content.config,
+            _ => 0,
+        };
+        Object {
+            version: Version::new(self.era, object.version.revision()),
+            change: config,
+            ..object.clone()
+        }
+    }
+
+    fn revision(&self) -> Version {
+        Version::new(self.era, self.content.revision)
+    }
+
     /// Takes a call, unless the store is down or busy.
     pub(crate) fn take(&mut self) -> Result<()> {
         let now = Instant::now();
@@ -91,6 +136,7 @@
 
     fn list(&self, feed: Feed, after: Option<&str>) -> Page {
         let of_feed = self
+            .content
             .objects
             .values()
             .filter(|o| Feed::of(&o.key) == Some(feed));
@@ -101,21 +147,25 @@
         } else {
             PAGE
         };
-        let objects: Vec<Object> = rest.take(most).cloned().collect();
+        let objects: Vec<Object> = rest.take(most).map(|o| self.told(o)).collect();
         let full = objects.len() == most;
         Page {
             next: objects.last().filter(|_| full).map(|o| o.key.name.clone()),
             objects,
-            revision: Version(self.revision),
+            revision: self.revision(),
             ..Page::default()
         }
     }
 
-    fn changes(&self, feed: Feed, from: Version) -> Option<Page> {
-        let all = &self.changes[feed as usize];
-        let first = all.partition_point(|o| o.version <= from);
+    /// Changes after a revision, if there are any.
+    fn changes(&self, feed: Feed, from: Version) -> Result<Option<Page>> {
+        if from.revision() > self.content.revision {
+            return Err(error(Code::HistoryGone));
+        }
+        let all = &self.content.changes[feed as usize];
+        let first = all.partition_point(|o| o.version.revision() <= from.revision());
         if first == all.len() {
-            return None;
+            return Ok(None);
         }
         let mut page = match feed {
             Feed::Routes => Page {
@@ -125,10 +175,10 @@
             _ => Page::default(),
         };
         if feed != Feed::Routes {
-            page.objects = all[first..].to_vec();
+            page.objects = all[first..].iter().map(|o| self.told(o)).collect();
         }
-        page.revision = Version(self.revision);
-        Some(page)
+        page.revision = self.revision();
+        Ok(Some(page))
     }
 }
 
@@ -165,14 +215,14 @@
                 let mut woken = lock().wake[feed as usize].subscribe();
                 let until = Instant::now() + Duration::from_millis(wait.0);
                 loop {
-                    if let Some(page) = lock().changes(feed, from) {
+                    if let Some(page) = lock().changes(feed, from)? {
                         break page;
                     }
                     if tokio::time::timeout_at(until, woken.changed())
                         .await
                         .is_err()
                     {
-                        let revision = Version(lock().revision);
+                        let revision = lock().revision();
                         break Page {
                             revision,
                             ..Page::default()
--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -7,23 +7,29 @@
 
 /// Whether some storm shows a flaw.
 fn finds(flaw: Flaw) -> bool {
-    let late = |seed| {
+    let fails = |seed| {
         let report = storm(seed, 24, 30, flaw);
-        report.broken.iter().any(|b| b.contains("in time"))
+        let shows = |b: &String| b.contains("in time") || b.contains("reverted");
+        report.broken.iter().any(shows)
     };
-    (0..8).any(late)
+    (0..8).any(fails)
 }
 
 #[test]
 fn no_vm_goes_back_or_is_late_in_a_storm() {
-    let mut events = 0;
+    let (mut events, mut eras) = (0, 0);
     for seed in 0..4 {
         let report = storm(seed, 24, 30, Flaw::None);
         let broken = &report.broken;
         assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
         events += report.events;
+        eras += report.eras;
     }
     assert!(events > 20_000, "only {events} events");
+    assert!(
+        eras > 5,
+        "the store came back from a copy only {eras} times"
+    );
 }
 
 #[test]
@@ -36,6 +42,21 @@
     assert!(finds(Flaw::Immortal));
 }
 
+#[test]
+fn the_oracle_finds_an_era_that_is_not_read() {
+    assert!(finds(Flaw::NoEra));
+}
+
+#[test]
+fn the_oracle_finds_objects_without_an_era() {
+    assert!(finds(Flaw::EraOfPages));
+}
+
+#[test]
+fn the_oracle_finds_configurations_without_a_number() {
+    assert!(finds(Flaw::Unnumbered));
+}
+
 /// All VMs of a fleet start at once, and together ask for more than the store's rate.
 #[test]
 fn a_fleet_that_was_lost_serves_again_soon_at_a_busy_store() {
--- a/wire/src/id.rs
+++ b/wire/src/id.rs
@@ -111,8 +111,32 @@
 );
 number_id!(
     /// Version of a platform object: the platform's revision when it was last written.
+    /// The upper bits hold the platform's era, which rises when its revisions start
+    /// again from an older one; so versions are ordered by era, then by revision.
     Version, u64, "a version number"
 );
+
+impl Version {
+    /// Bits that hold the revision.
+    const REVISION_BITS: u32 = 48;
+
+    /// Version of a revision in an era. A revision above 2^48 - 1 is cut to that.
+    pub const fn new(era: u16, revision: u64) -> Version {
+        let most = (1 << Version::REVISION_BITS) - 1;
+        let revision = if revision > most { most } else { revision };
+        Version(((era as u64) << Version::REVISION_BITS) | revision)
+    }
+
+    /// Number of times that the platform's revisions have started again.
+    pub const fn era(self) -> u16 {
+        (self.0 >> Version::REVISION_BITS) as u16
+    }
+
+    /// The platform's revision.
+    pub const fn revision(self) -> u64 {
+        self.0 & ((1 << Version::REVISION_BITS) - 1)
+    }
+}
 number_id!(
     /// Sequence number of a cell's view. Each view that is written has the next one.
     ViewNumber, u64, "a view number"
