Clock that counts suspension, log lines with their VM, storms with eras

- The gateway's clock is CLOCK_BOOTTIME through rustix.
`Instant` does not count the time of a suspended machine, so a VM that woke took its replica for fresh and its leave times for not yet over.
- Each log line carries the VM that wrote it (`at_vm`, about 20 bytes).
In merged logs `explain` put every line down to one VM and named a false cause; merged, unsorted and rotated logs now give the answer of separate ones, and lines of VMs that never saw the flow are left out (tests/explain.rs).
- A VM that loses the store probes it by one feed; the others wait for it.
- A stale VM asks one peer above it, one root elsewhere and one at random.
- What the storms of the model found on eras, each with a test in tests/era.rs: old history told again by a watch brought back targets that had left; a peer that is behind passed on what it held back; what ends at one VM did not reach peers.
An evacuation that was in the copy and is gone ends at once; one that the copy alone tells of waits 3 s.
- Model: `restart` (all lost; 60% lost in an outage; seeds gone for good).

--- a/bench/src/token.rs
+++ b/bench/src/token.rs
@@ -174,7 +174,9 @@
     let points = PACKETS.map(|n| {
         let n = n / 10;
         let time = timed(|| {
-            let Ok(journal) = burdocklever::json_log::JsonAppender::spawn(std::io::sink()) else {
+            let Ok(journal) =
+                burdocklever::json_log::JsonAppender::spawn("edge-1", std::io::sink())
+            else {
                 return;
             };
             for i in 0..n {
--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -29,12 +29,11 @@
 const WITHHELD_PAUSE: Duration = Duration::from_millis(200);
 /// Interval at which a store reader checks whether it still is one.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of peers that are asked for a fresher catalogue at a time, and the timeout.
-const SEEK_PEERS: usize = 3;
+/// Timeout of a request for a fresher catalogue.
 const SEEK_TIMEOUT: Ms = Ms(300);
 /// Pause between such requests at first, and its limit as it doubles.
 const SEEK_PAUSE: Ms = Ms(200);
-const SEEK_PAUSE_MAX: Ms = Ms(1600);
+const SEEK_PAUSE_MAX: Ms = Ms(800);
 /// Interval at which a VM with a stale replica checks whether to read the store.
 const STALE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the root of a failure domain exchanges members with another.
@@ -121,7 +120,7 @@
         }
         self.state.members().leave();
         let position = self.state.position();
-        let peer = position.parent.as_ref().or(position.alternatives.first());
+        let peer = position.parent.as_ref().or(position.roots.first());
         if let Some(peer) = peer {
             // Without an answer the others find out by themselves.
             let _ = self.state.query(peer, Ms(0), &mut Link::default()).await;
@@ -275,7 +274,8 @@
         }
         if now.since(asked_at) >= pause {
             asked_at = now;
-            state.set_isolated(!ask_alternatives(state, &position, &mut turn).await);
+            turn += 1;
+            state.set_isolated(!ask_alternatives(state, &position, turn).await);
             pause = SEEK_PAUSE_MAX.min(Ms(pause.0 * 2));
         }
         update_reading(state, &state.position());
@@ -283,17 +283,14 @@
     }
 }
 
-/// Asks the next [`SEEK_PEERS`] alternatives in turn. Returns whether any answered.
-async fn ask_alternatives(state: &ControlState, position: &Position, turn: &mut usize) -> bool {
-    let count = position.alternatives.len();
+/// Asks some alternatives to the peer above this VM. Returns whether any answered.
+async fn ask_alternatives(state: &ControlState, position: &Position, turn: usize) -> bool {
     let mut calls = JoinSet::new();
-    for n in 0..SEEK_PEERS.min(count) {
-        let peer = &position.alternatives[(*turn + n) % count];
+    for peer in position.alternatives(turn, &state.random) {
         let vm = peer.member.vm;
         let call = (state.query_peer)(peer.address, state.brief_request(), SEEK_TIMEOUT);
         calls.spawn(async move { (vm, call.await) });
     }
-    *turn = (*turn + SEEK_PEERS) % count.max(1);
     let mut answered = false;
     while let Some(done) = calls.join_next().await {
         match done {
@@ -329,7 +326,10 @@
                 let index = ((state.random)() * gone.len() as f64) as usize;
                 gone.get(index).map(|p| (*p).clone())
             }
-            _ => other_root(state, &position, turn),
+            _ => {
+                let index = turn as usize % position.roots.len().max(1);
+                position.roots.get(index).cloned()
+            }
         };
         if let Some(peer) = peer {
             let link = links.entry(peer.member.vm).or_default();
@@ -339,18 +339,6 @@
     }
 }
 
-fn other_root(state: &ControlState, position: &Position, turn: u64) -> Option<Peer> {
-    let own = state.members().own().domain.clone();
-    let mut domains = Vec::new();
-    for peer in position.alternatives.iter().filter(|p| p.domain != own) {
-        if domains.iter().all(|p: &&Peer| p.domain != peer.domain) {
-            domains.push(peer);
-        }
-    }
-    let index = turn as usize % domains.len().max(1);
-    domains.get(index).map(|p| (*p).clone())
-}
-
 /// Sends a request to a seed now and then, so that one that has just started learns
 /// of this VM.
 async fn greet_seeds(state: &ControlState, seeds: &[Address]) {
@@ -367,10 +355,10 @@
         let (vms, domains) = {
             let position = state.position();
             let members = state.members();
-            let mut names: Vec<_> = position.alternatives.iter().map(|p| &p.domain).collect();
-            names.sort_unstable();
-            names.dedup();
-            (members.live_in(&own.domain).count(), names.len().max(1))
+            (
+                members.live_in(&own.domain).count(),
+                position.roots.len() + 1,
+            )
         };
         let interval = (vms * domains) as u64 * 1000 / SEED_REQUESTS_PER_S;
         let spread = 0.5 + (state.random)();
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -115,6 +115,8 @@
     pub(crate) change_deferred: Notify,
     /// Wakes a VM without a catalogue when it hears of a peer.
     pub(crate) peer_learned: Notify,
+    /// Wakes feeds that wait for the store.
+    store_back: Notify,
     /// Whether no peer answered when this VM last asked several.
     isolated: AtomicBool,
     /// Feeds with a failed store call since the last call of `store_recovered`.
@@ -169,6 +171,7 @@
             reads_store: watch::Sender::new(false),
             change_deferred: Notify::new(),
             peer_learned: Notify::new(),
+            store_back: Notify::new(),
             isolated: AtomicBool::new(false),
             failing: Mutex::default(),
             peer_answer: Mutex::default(),
@@ -422,11 +425,23 @@
 
     /// Records that the store answers again.
     pub(crate) fn store_recovered(&self, feed: Feed) {
+        self.store_back.notify_waiters();
         if lock(&self.failing).remove(&feed) {
             log::info!(target: "store", feed = feed.to_string().as_str(); "store regained");
         }
     }
 
+    /// Whether the last call for a feed failed.
+    pub(crate) fn is_failing(&self, feed: Feed) -> bool {
+        lock(&self.failing).contains(&feed)
+    }
+
+    /// Returns when the store answers again, or after `limit`.
+    pub(crate) async fn wait_for_store(&self, limit: Duration) {
+        // A timeout means that the caller tries for itself.
+        let _ = tokio::time::timeout(limit, self.store_back.notified()).await;
+    }
+
     /// Starts or stops reading the store.
     pub(crate) fn set_reads_store(&self, on: bool) {
         let changed = self
--- a/burdocklever/src/era.rs
+++ b/burdocklever/src/era.rs
@@ -13,6 +13,9 @@
 /// Time in which targets write their entries again, and VMs hear of it: the platform
 /// guarantees 2 s.
 pub(crate) const HOST_HOLD: Ms = Ms(3000);
+/// Time for which a failure domain is not taken out because of the copy alone. It must
+/// be out within 5 s if an operator says so again.
+const OUT_HOLD: Ms = Ms(3000);
 /// Time in which operators write their changes again.
 pub(crate) const OPERATOR_HOLD: Ms = Ms(15_000);
 
@@ -25,9 +28,19 @@
     Hold(Ms),
 }
 
+/// What a VM can tell of a copy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CopyFacts {
+    /// Number of the configuration in the copy.
+    pub config: u64,
+    /// A revision that the copy is known to reach, since it has an object of that
+    /// revision which was known before.
+    pub reaches: u64,
+}
+
 /// Decides between a known object and its state in the copy; none if the copy lacks
-/// it. `config` is the number of the configuration in the copy.
-pub fn decide(known: &Object, copy: Option<&Object>, config: u64) -> CopyDecision {
+/// it.
+pub fn decide(known: &Object, copy: Option<&Object>, facts: CopyFacts) -> CopyDecision {
     let removed = Body::Removed;
     let body = copy.map_or(&removed, |o| &o.body);
     let is_later = copy.is_some_and(|o| o.version.revision() >= known.version.revision());
@@ -35,7 +48,8 @@
         return CopyDecision::Apply;
     }
     match Feed::of(&known.key) {
-        Some(Feed::Routes) if config >= known.change => CopyDecision::Apply,
+        Some(Feed::Routes) if facts.config >= known.change => CopyDecision::Apply,
+        Some(Feed::Domains) => decide_domain(known, copy, facts),
         Some(Feed::Hosts) if is_later_host(&known.body, body) => CopyDecision::Apply,
         // An entry that comes back without its target lapses only after some seconds.
         Some(Feed::Hosts) if known.body != Body::Removed => CopyDecision::Hold(HOST_HOLD),
@@ -43,6 +57,17 @@
     }
 }
 
+/// Decides on a failure domain. One that the copy says is out may have been taken out
+/// after the store's return, so it is held back only for as long as that may take to be
+/// in force.
+fn decide_domain(known: &Object, copy: Option<&Object>, facts: CopyFacts) -> CopyDecision {
+    match copy {
+        Some(_) => CopyDecision::Hold(OUT_HOLD),
+        None if known.version.revision() <= facts.reaches => CopyDecision::Apply,
+        None => CopyDecision::Hold(OPERATOR_HOLD),
+    }
+}
+
 /// Whether a target's entry follows from a known one: it has started again, or it
 /// leaves. No target returns from leaving.
 fn is_later_host(known: &Body, copy: &Body) -> bool {
--- a/burdocklever/src/explain.rs
+++ b/burdocklever/src/explain.rs
@@ -7,6 +7,7 @@
 use serde_json::{Map, Value};
 
 use crate::code::Code;
+use crate::json_log::SOURCE_FIELD;
 
 /// Time before the first and after the last line of a flow within which lines about
 /// its VMs and targets are included. No request lasts longer.
@@ -49,7 +50,11 @@
             "{} {} {}: {}",
             self.unix_ms, self.source, self.part, self.event
         )?;
-        for (name, value) in self.fields.iter().filter(|(n, _)| *n != "level") {
+        for (name, value) in self
+            .fields
+            .iter()
+            .filter(|(n, _)| *n != "level" && *n != SOURCE_FIELD)
+        {
             write!(f, " {name}={value}")?;
         }
         Ok(())
@@ -96,7 +101,8 @@
     let is_relevant = |l: &&LogLine| {
         let in_time = (from..=to).contains(&l.unix_ms);
         let of_flow = l.text("flow") == Some(flow);
-        of_flow || (in_time && (concerns_target(l, &hosts) || concerns_vm(l, &sources)))
+        let seen = sources.contains(&*l.source);
+        of_flow || (in_time && seen && (concerns_target(l, &hosts) || concerns_vm(l)))
     };
     let lines: Vec<&LogLine> = all_lines.iter().filter(is_relevant).collect();
     Explanation {
@@ -110,22 +116,23 @@
     let start = line.find('{')?;
     let mut parsed: LogLine = serde_json::from_str(&line[start..]).ok()?;
     let before = line[..start].trim();
+    let named = parsed.text(SOURCE_FIELD).map(Box::from);
     parsed.source = match before.rsplit(' ').next() {
         Some(name) if !name.is_empty() => name.into(),
-        _ => source.into(),
+        _ => named.unwrap_or_else(|| source.into()),
     };
     Some(parsed)
 }
 
-/// Replaces the file name of each line by the name of the VM that logs its start in
-/// that file.
+/// Replaces the file name of each line of an older build, which does not carry the
+/// VM's name, by the name of the VM that logs its start in that file.
 fn name_sources(lines: &mut [LogLine]) {
     let names: BTreeMap<Box<str>, Box<str>> = lines
         .iter()
-        .filter(|l| *l.event == *"started")
+        .filter(|l| *l.event == *"started" && l.text(SOURCE_FIELD).is_none())
         .filter_map(|l| Some((l.source.clone(), l.text("vm")?.into())))
         .collect();
-    for line in lines {
+    for line in lines.iter_mut().filter(|l| l.text(SOURCE_FIELD).is_none()) {
         if let Some(name) = names.get(&line.source) {
             line.source = name.clone();
         }
@@ -141,10 +148,10 @@
     host.is_some_and(|host| hosts.contains(&host))
 }
 
-/// Whether a line reports the start or stop of one of the VMs in `sources`, or a
-/// change of its connection to the store or to peers.
-fn concerns_vm(line: &LogLine, sources: &BTreeSet<&str>) -> bool {
-    sources.contains(&*line.source) && ["daemon", "store", "peer"].contains(&&*line.part)
+/// Whether a line reports the start or stop of its VM, or a change of the VM's
+/// connection to the store or to peers.
+fn concerns_vm(line: &LogLine) -> bool {
+    ["daemon", "store", "peer"].contains(&&*line.part)
 }
 
 fn find_cause(flow_lines: &[&LogLine], lines: &[&LogLine]) -> String {
--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -34,6 +34,11 @@
     }
 }
 
+/// Feed by which a VM finds out that a lost store is back. The others wait for it, up
+/// to this time.
+const PROBE_FEED: Feed = Feed::Hosts;
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Lists and watches `feed` while this VM reads the store.
 pub(crate) async fn watch_feed(state: Arc<ControlState>, store: Arc<Store>, feed: Feed) {
     let mut enabled = state.subscribe_reads_store();
@@ -100,6 +105,9 @@
                     state.with_replica(|_, replica| replica.mark_unreachable(feed));
                 }
                 state.store_failed(feed, &error);
+                if feed != PROBE_FEED && state.is_failing(PROBE_FEED) {
+                    state.wait_for_store(PROBE_PAUSE).await;
+                }
                 retry_pause(&state, failed)
             }
         };
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use axum::http::StatusCode;
 use axum::routing::get;
@@ -33,7 +33,7 @@
 use crate::replica::Replica;
 use crate::segment::Segment;
 use crate::store::{Feed, Store};
-use crate::time::{Ms, Time};
+use crate::time::{Clock, Ms, Time};
 use crate::token::Token;
 
 /// Interval at which the settings file is checked for changes and expired state
@@ -49,9 +49,6 @@
 /// Minimum duration of a stop. The fabric probes readiness twice per second and
 /// acts on the second failed probe.
 const MIN_STOP_TIME: Ms = Ms(1500);
-/// Reading of the gateway's clock at its start, so that instants before it can be
-/// expressed: peers tell how old their knowledge is. 11 days.
-const CLOCK_START: Ms = Ms(1_000_000_000);
 /// Time allowed to tell a peer that this VM stops.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Percentage of the time until a stopping VM is killed after which it stops
@@ -109,7 +106,7 @@
     /// Address that packets are received on.
     pub(crate) address: Address,
     pub(crate) codec: Codec,
-    pub(crate) started: Instant,
+    pub(crate) clock: Clock,
     pub(crate) stopping: AtomicBool,
     /// Whether the catalogue is complete, so that packets can be decided on.
     pub(crate) complete: AtomicBool,
@@ -124,7 +121,7 @@
 
 impl GatewayState {
     pub(crate) fn now(&self) -> Time {
-        Time(CLOCK_START.0 + self.started.elapsed().as_millis() as u64)
+        self.clock.now()
     }
 
     pub(crate) fn forwarder(&self) -> MutexGuard<'_, Forwarder> {
@@ -196,7 +193,7 @@
             socket,
             address: settings.datagram,
             codec: adapter.codec,
-            started: Instant::now(),
+            clock: Clock::start(),
             stopping: AtomicBool::new(false),
             complete: AtomicBool::new(false),
             held_packets: Mutex::default(),
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -121,7 +121,7 @@
     drop(held);
     drop_held_packets(state, &expired);
     log::info!(target: "packet", forwarded = packets.len(), expired = expired.len(),
-        waited_ms = state.started.elapsed().as_millis() as u64;
+        waited_ms = state.clock.elapsed().0;
         "catalogue complete; packets that waited for it are handled");
     let mut out = Vec::new();
     for one in &packets {
--- a/burdocklever/src/join.rs
+++ b/burdocklever/src/join.rs
@@ -95,8 +95,8 @@
         let mut candidates: Vec<(Option<VmId>, Address)> =
             seeds.iter().map(|seed| (None, *seed)).collect();
         let position = state.position();
-        let above = position.alternatives.into_iter();
-        candidates.extend(above.map(|p| (Some(p.member.vm), p.address)));
+        let peers = position.peers();
+        candidates.extend(peers.map(|p| (Some(p.member.vm), p.address)));
         let due = |address: &Address| {
             asked
                 .get(address)
@@ -173,7 +173,7 @@
     let mut step = 0;
     loop {
         let position = state.position();
-        let alone = position.alternatives.is_empty();
+        let alone = position.peers().next().is_none();
         let placed = findings.placed.load(Ordering::Relaxed) && !(alone && first);
         let elapsed = (state.clock)().since(start);
         let due = elapsed >= patience + Ms(STEP.0 * step);
--- a/burdocklever/src/json_log.rs
+++ b/burdocklever/src/json_log.rs
@@ -56,18 +56,20 @@
 /// Appender for the records of the `log` macros.
 #[derive(Debug)]
 pub struct JsonAppender {
+    /// Name of the VM, which every line carries.
+    vm: Box<str>,
     commands: SyncSender<Command>,
     windows: Mutex<HashMap<Box<str>, Window>>,
     counts: Arc<LineCounts>,
 }
 
 impl JsonAppender {
-    /// Starts a thread that writes lines to `out`.
+    /// Starts a thread that writes lines to `out`. Each line carries the name of the VM.
     ///
     /// # Errors
     ///
     /// The operating system's error if the thread cannot be started.
-    pub fn spawn(out: impl Write + Send + 'static) -> std::io::Result<JsonAppender> {
+    pub fn spawn(vm: &str, out: impl Write + Send + 'static) -> std::io::Result<JsonAppender> {
         let (commands, queue) = sync_channel(QUEUE_MAX);
         let counts = Arc::new(LineCounts::default());
         let shared = counts.clone();
@@ -75,6 +77,7 @@
             .name("journal".into())
             .spawn(move || write_lines(&queue, out, &shared))?;
         Ok(JsonAppender {
+            vm: vm.into(),
             commands,
             windows: Mutex::default(),
             counts,
@@ -113,7 +116,7 @@
         let queued = allowed
             && self
                 .commands
-                .try_send(Command::Line(encode(record)?))
+                .try_send(Command::Line(encode(&self.vm, record)?))
                 .is_ok();
         let count = if queued {
             &self.counts.written
@@ -133,6 +136,9 @@
     }
 }
 
+/// Field with the name of the VM that logs a line. Other fields say `vm` of peers.
+pub(crate) const SOURCE_FIELD: &str = "at_vm";
+
 /// Adds a record's fields to a JSON object.
 struct Fields<'a, M>(&'a mut M);
 
@@ -150,12 +156,13 @@
     }
 }
 
-fn encode(record: &Record<'_>) -> anyhow::Result<Vec<u8>> {
+fn encode(vm: &str, record: &Record<'_>) -> anyhow::Result<Vec<u8>> {
     let mut line = Vec::with_capacity(256);
     let unix_time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let mut json = serde_json::Serializer::new(&mut line);
     let mut map = json.serialize_map(None)?;
     map.serialize_entry("unix_ms", &unix_time.map_or(0, |d| d.as_millis() as u64))?;
+    map.serialize_entry(SOURCE_FIELD, vm)?;
     map.serialize_entry("level", record.level().as_str())?;
     map.serialize_entry("part", record.target())?;
     map.serialize_entry("event", &record.args().to_string())?;
@@ -212,8 +219,8 @@
 ///
 /// The operating system's error if the thread cannot be started, or an error if
 /// logging is already initialised.
-pub fn open(level: LevelFilter) -> std::io::Result<()> {
-    let appender = JsonAppender::spawn(std::io::stdout())?;
+pub fn open(vm: &str, level: LevelFilter) -> std::io::Result<()> {
+    let appender = JsonAppender::spawn(vm, std::io::stdout())?;
     let library_level = level.min(LevelFilter::Warn);
     let mut config =
         Config::builder().appender(Appender::builder().build("main", Box::new(appender)));
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -97,7 +97,7 @@
     CatalogueReply, CatalogueRequest, ControlEvent, ControlState, Cursor, Environment, QueryPeer,
 };
 pub use daemon::{Daemon, Error as DaemonError};
-pub use era::{decide, CopyDecision};
+pub use era::{decide, CopyDecision, CopyFacts};
 pub use event::{
     Action, Counts, Event, Mark, Outcome, Packet, PacketId, PeerTask, Request, RequestId,
 };
@@ -127,6 +127,6 @@
 pub use settings::Settings;
 pub use status::Status;
 pub use store::{CallFuture, Consistency, Feed, Page, ReadRequest, Store};
-pub use time::{Ms, Time};
+pub use time::{Clock, Ms, Time};
 pub use token::Token;
 pub use trace::open as open_trace_file;
--- a/burdocklever/src/peer_selection.rs
+++ b/burdocklever/src/peer_selection.rs
@@ -38,9 +38,12 @@
     pub parent: Option<Peer>,
     /// VMs of its failure domain that poll this one.
     pub children: Vec<VmId>,
-    /// Peers to ask for a fresher catalogue, best first: the VMs ranked before this
-    /// one, then the roots of the other failure domains, then the other VMs.
-    pub alternatives: Vec<Peer>,
+    /// VMs of its failure domain that are ranked before this one, best first.
+    pub above: Vec<Peer>,
+    /// Roots of the other failure domains, best first.
+    pub roots: Vec<Peer>,
+    /// All other VMs.
+    pub others: Vec<Peer>,
 }
 
 impl Position {
@@ -48,6 +51,26 @@
     pub fn is_reader(&self) -> bool {
         self.parent.is_none()
     }
+
+    /// All peers, best first.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.above.iter().chain(&self.roots).chain(&self.others)
+    }
+
+    /// Peers to ask for a fresher catalogue, given a turn and a source of random numbers
+    /// between 0 and 1.
+    ///
+    /// Load: a VM near the root of a failure domain dies, so that all VMs below it know
+    /// as little as each other, or several roots die at once. One peer is above this VM,
+    /// one is a root elsewhere and one is any, so that few turns find one that is fresh,
+    /// and no peer is asked by all.
+    pub(crate) fn alternatives(&self, turn: usize, random: impl Fn() -> f64) -> Vec<&Peer> {
+        let pick = |list: &'_ [Peer]| (random() * list.len() as f64) as usize;
+        let above = self.above.get(turn % self.above.len().max(1));
+        let root = self.roots.get(pick(&self.roots));
+        let other = self.others.get(pick(&self.others));
+        [above, root, other].into_iter().flatten().collect()
+    }
 }
 
 /// Position of VM `own` among the peers that it can use.
@@ -81,12 +104,14 @@
     let other_roots = roots.iter().filter(is_foreign);
     let below = local[rank..].iter().filter(|p| !is_own(p));
     let rest = ranked.iter().filter(is_foreign).filter(|p| !is_root(p));
-    let alternatives = above.chain(other_roots).chain(below).chain(rest);
+    let owned = |p: &&Peer| (*p).clone();
     Position {
         rank,
         parent: parent.cloned(),
         children: children.map(|(_, p)| p.member.vm).collect(),
-        alternatives: alternatives.map(|p| (*p).clone()).collect(),
+        above: above.map(owned).collect(),
+        roots: other_roots.map(owned).collect(),
+        others: below.chain(rest).map(owned).collect(),
     }
 }
 
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -10,7 +10,7 @@
 use wire::{Body, Object, ObjectKey, Version};
 
 use crate::catalogue::Catalogue;
-use crate::era::{decide, CopyDecision};
+use crate::era::{decide, CopyDecision, CopyFacts};
 use crate::freshness::Bounds;
 use crate::store::Feed;
 use crate::time::{Ms, Time};
@@ -83,6 +83,8 @@
 #[derive(Debug, Default)]
 pub struct Replica {
     bounds: Bounds,
+    /// Version that the store's last copy is known to reach.
+    copy_reaches: Version,
     catalogue: Catalogue,
     feeds: [FeedState; Feed::COUNT],
     /// Objects of each feed by version, to find those that a peer lacks.
@@ -228,7 +230,7 @@
         };
         let list = list.into_iter().filter(|o| !unchanged(o));
         let changes = removals.chain(list).collect();
-        self.apply_changes(now, feed, changes, revision)
+        self.apply_in_order(now, feed, changes, revision)
     }
 
     /// Keys of a feed's objects that a complete list lacks, without those whose
@@ -283,7 +285,7 @@
         list: Vec<Object>,
         revision: Version,
     ) -> Vec<Object> {
-        let config = config_number(&list);
+        let facts = self.copy_facts(&list, revision);
         let state = &mut self.feeds[feed as usize];
         if feed == Feed::Hosts {
             // Their entries may also lapse, since leases of the lost time are gone.
@@ -296,7 +298,7 @@
         for object in removals.collect::<Vec<Object>>().into_iter().chain(list) {
             let listed = Some(&object).filter(|o| o.body != Body::Removed);
             let known = self.catalogue.entry(&object.key);
-            match known.map(|known| decide(known, listed, config)) {
+            match known.map(|known| decide(known, listed, facts)) {
                 Some(CopyDecision::Hold(time)) => {
                     let waiting = Deferred {
                         object: object.clone(),
@@ -312,6 +314,22 @@
         changed
     }
 
+    /// What a list shows of the copy that it comes from.
+    fn copy_facts(&mut self, list: &[Object], revision: Version) -> CopyFacts {
+        let is_unchanged = |o: &&Object| {
+            let known = self.catalogue.get(&o.key);
+            known.is_some_and(|k| k.version.revision() == o.version.revision() && k.body == o.body)
+        };
+        let unchanged = list.iter().filter(is_unchanged);
+        let reaches = unchanged.map(|o| o.version.revision()).max().unwrap_or(0);
+        let start = Version::new(revision.era(), reaches);
+        self.copy_reaches = self.copy_reaches.max(start);
+        CopyFacts {
+            config: config_number(list),
+            reaches: self.copy_reaches.revision(),
+        }
+    }
+
     /// Number of changes that wait.
     pub fn deferred_changes(&self) -> usize {
         self.feeds.iter().map(|f| f.deferred.len()).sum()
@@ -325,12 +343,29 @@
     }
 
     /// Applies changes of a feed in order. Returns the objects that changed.
+    ///
+    /// Objects up to the known revision are left out: the feed is complete up to it. In
+    /// a new era the store may repeat what was written before its copy, with versions
+    /// above those of the lost time.
     pub fn apply_changes(
         &mut self,
         now: Time,
         feed: Feed,
         list: Vec<Object>,
         revision: Version,
+    ) -> Vec<Object> {
+        let known = self.revision(feed).unwrap_or_default();
+        let is_news = |o: &Object| o.body == Body::Removed || o.version > known;
+        let list = list.into_iter().filter(is_news).collect();
+        self.apply_in_order(now, feed, list, revision)
+    }
+
+    fn apply_in_order(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        list: Vec<Object>,
+        revision: Version,
     ) -> Vec<Object> {
         if self.is_outdated(feed, revision) {
             return Vec::new();
@@ -498,7 +533,11 @@
             }
         }
         for object in waiting {
-            self.defer(now, object);
+            // A peer behind this replica may hold what has been removed meanwhile.
+            let feed = Feed::of(&object.key).map(|f| f as usize);
+            if feed.is_some_and(|i| update.revisions[i] >= self.feeds[i].revision) {
+                self.defer(now, object);
+            }
         }
         for feed in Feed::ALL {
             let i = feed as usize;
@@ -584,7 +623,11 @@
             return;
         };
         let listed = Some(&object).filter(|o| o.body != Body::Removed);
-        if let CopyDecision::Hold(time) = decide(known, listed, object.change) {
+        let facts = CopyFacts {
+            config: object.change,
+            reaches: self.copy_reaches.revision(),
+        };
+        if let CopyDecision::Hold(time) = decide(known, listed, facts) {
             let waiting = Deferred {
                 object: object.clone(),
                 until: now + time,
--- a/burdocklever/src/time.rs
+++ b/burdocklever/src/time.rs
@@ -1,9 +1,11 @@
-//! Monotonic time in milliseconds, passed to the state machines as a value.
+//! Monotonic time in milliseconds, passed to the state machines as a value, and the
+//! clock that it is read from.
 
 use std::fmt;
 use std::ops::{Add, Sub};
 use std::str::FromStr;
 
+use rustix::time::{clock_gettime, ClockId, Timespec};
 use serde::{Deserialize, Serialize};
 use wire::ParseError;
 
@@ -28,6 +30,39 @@
     }
 }
 
+/// Reading of a [`Clock`] at its start, so that instants before it can be expressed:
+/// peers tell how old their knowledge is. 11 days.
+const CLOCK_START: u64 = 1_000_000_000;
+
+/// A VM's clock. It goes on while the machine is suspended, so that what expires has
+/// expired when the machine wakes up.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Timespec,
+}
+
+impl Clock {
+    /// Clock that starts now.
+    pub fn start() -> Clock {
+        Clock {
+            start: clock_gettime(ClockId::Boottime),
+        }
+    }
+
+    /// Current time.
+    pub fn now(&self) -> Time {
+        let now = clock_gettime(ClockId::Boottime);
+        let seconds = now.tv_sec - self.start.tv_sec;
+        let ms = seconds * 1000 + (now.tv_nsec - self.start.tv_nsec) / 1_000_000;
+        Time(CLOCK_START + ms.max(0) as u64)
+    }
+
+    /// Time since the start.
+    pub fn elapsed(&self) -> Ms {
+        self.now().since(Time(CLOCK_START))
+    }
+}
+
 impl Add<Ms> for Time {
     type Output = Time;
 
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -11,8 +11,10 @@
 mod growth;
 mod network;
 mod relay;
+mod restart;
 mod store;
 
 pub use fleet::{Cost, Flaw, Fleet, Plan};
-pub use growth::{growth, restart};
+pub use growth::growth;
 pub use relay::{storm, Report};
+pub use restart::{restart, restart_in_outage, restart_without_seeds, Restart};
