--- a/burdocklever/src/join.rs
+++ b/burdocklever/src/join.rs
@@ -34,8 +34,11 @@
 /// Time after which a peer that did not answer is asked again. It may have started
 /// meanwhile.
 const ASK_AGAIN: Ms = Ms(100);
-/// Time after which VMs begin to read the store without having a place to.
+/// Time after which VMs begin to read the store without having a place to. In a small
+/// failure domain the calls cost less than the wait.
 const PATIENCE: Ms = Ms(150);
+const SMALL_DOMAIN_PATIENCE: Ms = Ms(30);
+const SMALL_DOMAIN_VMS: u32 = 6;
 /// The same while the fleet starts for the first time: nobody is served yet, and the
 /// seeds may start later than the others.
 const FIRST_PATIENCE: Ms = Ms(1000);
@@ -169,16 +172,20 @@
 /// Reads the store if this VM is a store reader, or when its turn comes.
 async fn read_store_in_turn(state: &ControlState, first: bool, findings: &Findings) {
     let start = (state.clock)();
-    let patience = if first { FIRST_PATIENCE } else { PATIENCE };
     let mut step = 0;
     loop {
         let position = state.position();
         let alone = position.peers().next().is_none();
         let placed = findings.placed.load(Ordering::Relaxed) && !(alone && first);
         let elapsed = (state.clock)().since(start);
+        let vms = findings.domain_vms.load(Ordering::Relaxed);
+        let patience = match vms {
+            _ if first => FIRST_PATIENCE,
+            ..=SMALL_DOMAIN_VMS => SMALL_DOMAIN_PATIENCE,
+            _ => PATIENCE,
+        };
         let due = elapsed >= patience + Ms(STEP.0 * step);
         let turn = due && {
-            let vms = findings.domain_vms.load(Ordering::Relaxed);
             step += 1;
             (state.random)() < start_probability(vms, step as u32)
         };
--- /dev/null
+++ b/burdocklever/src/replica/copy.rs
@@ -0,0 +1,163 @@
+//! What a replica makes of a store that comes back from an older copy, by the decisions of
+//! [`crate::era`].
+
+use wire::{Body, Object, Version};
+
+use super::{config_number, removed, Deferred, Replica, ReplicaUpdate, GRACE_PERIOD};
+use crate::era::{decide, CopyDecision, CopyFacts};
+use crate::store::Feed;
+use crate::time::Time;
+
+impl Replica {
+    /// Whether a result of the store is the first of a new era.
+    pub fn is_new_era(&self, feed: Feed, revision: Version) -> bool {
+        let known = self.revision(feed);
+        known.is_some_and(|known| revision.era() > known.era())
+    }
+
+    /// Whether a list of the routes is of an older configuration than the known one.
+    pub(super) fn is_older_config(&self, feed: Feed, list: &[Object]) -> bool {
+        let in_feed = |o: &&Object| Feed::of(&o.key) == Some(feed);
+        let known = self.catalogue.objects().filter(in_feed).map(|o| o.change);
+        let is_config = feed == Feed::Routes && !list.is_empty();
+        is_config && Some(config_number(list)) < known.max()
+    }
+
+    /// Applies a complete list of a feed's objects from an older copy of the store. What
+    /// the copy says otherwise is deferred where that may have been lost.
+    pub(super) fn apply_copy(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        list: Vec<Object>,
+        revision: Version,
+    ) -> Vec<Object> {
+        let facts = self.copy_facts(&list, revision);
+        let state = &mut self.feeds[feed as usize];
+        if feed == Feed::Hosts {
+            // Their entries may also lapse, since leases of the lost time are gone.
+            state.grace_until = state.grace_until.max(now + GRACE_PERIOD);
+        }
+        state.deferred.clear();
+        let absent = self.absent_keys(feed, &list);
+        let removals = absent.into_iter().map(|key| removed(key, revision));
+        let mut changed = Vec::new();
+        for object in removals.collect::<Vec<Object>>().into_iter().chain(list) {
+            let listed = Some(&object).filter(|o| o.body != Body::Removed);
+            let known = self.catalogue.entry(&object.key);
+            match known.map(|known| decide(known, listed, facts)) {
+                Some(CopyDecision::Hold(time)) => {
+                    let waiting = Deferred {
+                        object: object.clone(),
+                        until: now + time,
+                        needs_confirmation: true,
+                    };
+                    let deferred = &mut self.feeds[feed as usize].deferred;
+                    deferred.insert(object.key, waiting);
+                }
+                _ => changed.extend(self.merge(object)),
+            }
+        }
+        changed
+    }
+
+    /// What a list shows of the copy that it comes from.
+    fn copy_facts(&mut self, list: &[Object], revision: Version) -> CopyFacts {
+        let is_unchanged = |o: &&Object| {
+            let known = self.catalogue.get(&o.key);
+            known.is_some_and(|k| k.version.revision() == o.version.revision() && k.body == o.body)
+        };
+        let unchanged = list.iter().filter(is_unchanged);
+        let reaches = unchanged.map(|o| o.version.revision()).max().unwrap_or(0);
+        let start = Version::new(revision.era(), reaches);
+        self.copy_reaches = self.copy_reaches.max(start);
+        CopyFacts {
+            config: config_number(list),
+            reaches: self.copy_reaches.revision(),
+        }
+    }
+
+    /// Number of changes that wait.
+    pub fn deferred_changes(&self) -> usize {
+        self.feeds.iter().map(|f| f.deferred.len()).sum()
+    }
+
+    /// Applies the feeds of a peer's update in which a new era begins, and takes them
+    /// out of the update.
+    pub(super) fn apply_new_eras(&mut self, now: Time, update: &mut ReplicaUpdate) -> Vec<Object> {
+        let mut changed = Vec::new();
+        for feed in Feed::ALL {
+            let i = feed as usize;
+            let revision = update.revisions[i];
+            if !update.complete[i] || !self.is_new_era(feed, revision) {
+                continue;
+            }
+            let in_feed = |o: &Object| Feed::of(&o.key) == Some(feed);
+            let objects = std::mem::take(&mut update.objects);
+            let (objects, rest) = objects.into_iter().partition(in_feed);
+            update.objects = rest;
+            update.complete[i] = false;
+            let waiting = update.deferred.iter().filter(|o| in_feed(o));
+            let waiting: Vec<Object> = waiting.cloned().collect();
+            changed.extend(self.apply_peer_copy(now, feed, objects, waiting, revision));
+            let state = &mut self.feeds[i];
+            state.history_floor = state.history_floor.max(revision);
+        }
+        changed
+    }
+
+    /// Applies a feed's objects as a peer knows them in a new era. `waiting` are those
+    /// of the copy that the peer holds back; this VM decides on them itself.
+    fn apply_peer_copy(
+        &mut self,
+        now: Time,
+        feed: Feed,
+        objects: Vec<Object>,
+        waiting: Vec<Object>,
+        revision: Version,
+    ) -> Vec<Object> {
+        let is_new = |o: &Object| o.version.era() == revision.era();
+        let (new, held): (Vec<Object>, Vec<Object>) = objects.into_iter().partition(is_new);
+        let mut changed = Vec::new();
+        for object in &held {
+            changed.extend(self.merge(object.clone()));
+        }
+        let (removals, mut copy): (Vec<Object>, Vec<Object>) =
+            new.into_iter().partition(|o| o.body == Body::Removed);
+        copy.extend(held.into_iter().filter(|o| o.body != Body::Removed));
+        copy.retain(|o| waiting.iter().all(|w| w.key != o.key));
+        copy.extend(waiting.into_iter().filter(|o| o.body != Body::Removed));
+        changed.extend(self.apply_copy(now, feed, copy, revision));
+        // Removals that the peer has decided on stand.
+        for removal in removals {
+            changed.extend(self.merge(removal));
+        }
+        changed
+    }
+
+    /// Holds back what a peer holds back of a copy of the store, for as long as this
+    /// VM would.
+    pub(super) fn defer(&mut self, now: Time, object: Object) {
+        let Some(feed) = Feed::of(&object.key) else {
+            return;
+        };
+        let known = self.catalogue.entry(&object.key);
+        let Some(known) = known.filter(|k| k.version < object.version) else {
+            return;
+        };
+        let listed = Some(&object).filter(|o| o.body != Body::Removed);
+        let facts = CopyFacts {
+            config: object.change,
+            reaches: self.copy_reaches.revision(),
+        };
+        if let CopyDecision::Hold(time) = decide(known, listed, facts) {
+            let waiting = Deferred {
+                object: object.clone(),
+                until: now + time,
+                needs_confirmation: true,
+            };
+            let deferred = &mut self.feeds[feed as usize].deferred;
+            deferred.entry(object.key).or_insert(waiting);
+        }
+    }
+}
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -277,6 +277,31 @@
     assert_eq!((goal(&knows), goal(&reader)), (150, 150));
 }
 
+/// A target that left twice: in the lost time and, since its entry came back, again. The
+/// peer has listed the store only after that.
+#[test]
+fn what_the_store_no_longer_has_is_not_held_back_any_longer() {
+    let mut replica = Replica::default();
+    replica.apply_list(
+        NOW,
+        Feed::Hosts,
+        vec![host(old(50), 1, Lifecycle::Leaving)],
+        old(60),
+    );
+    replica.raise_history_floor(Feed::Hosts, new(55));
+    let copy = host(new(43), 1, Lifecycle::Live);
+    replica.apply_list(NOW, Feed::Hosts, vec![copy], new(55));
+    assert_eq!(replica.deferred_changes(), 1);
+    let mut peer = Replica::default();
+    peer.raise_history_floor(Feed::Hosts, new(70));
+    peer.apply_list(NOW, Feed::Hosts, vec![], new(70));
+    replica.apply_update(NOW, peer.update_since(NOW, &replica.revisions()));
+    let end = NOW + Ms(4000);
+    replica.confirm(end, Feed::Hosts, new(71));
+    replica.apply_due_changes(end, Feed::Hosts);
+    assert_eq!(replica.catalogue().all_hosts().count(), 0);
+}
+
 /// A peer that is behind still holds a target back that has left meanwhile.
 #[test]
 fn what_a_peer_behind_holds_back_is_not_taken_over() {
