Leftovers of an era before bring no target back

Cause: a peer keeps an object of the era before for as long as it holds the copy back. A VM of the new era merged it by version, over its own tombstone of a yet older era: the revisions of two eras cannot be compared. Change: such an object is taken only if it is unknown, or known in the same era. Test `what_a_peer_keeps_of_an_era_before_brings_no_target_back`.

--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -408,6 +408,7 @@
             None => Duration::MAX,
         };
         tokio::select! {
+            biased;
             () = tokio::time::sleep(wait) => {}
             // An earlier one may have been added.
             () = state.change_deferred.notified() => {}
--- a/burdocklever/src/join.rs
+++ b/burdocklever/src/join.rs
@@ -84,6 +84,7 @@
         )
     };
     tokio::select! {
+        biased;
         () = state.has_catalogue() => {}
         _ = searching => {}
     }
@@ -115,6 +116,7 @@
             running.spawn(async move { (vm, call.await) });
         }
         tokio::select! {
+            biased;
             Some(done) = running.join_next() => {
                 if let Ok((vm, reply)) = done {
                     take_reply(state, vm, reply, findings);
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -464,7 +464,9 @@
             let feed = Feed::of(&object.key).map(|f| f as usize);
             let applies = feed.is_some_and(|i| {
                 let state = &self.feeds[i];
-                update.revisions[i] >= state.revision && !state.holds_back(&object)
+                update.revisions[i] >= state.revision
+                    && !state.holds_back(&object)
+                    && !self.is_leftover(&object, update.revisions[i])
             });
             if applies {
                 changed.extend(self.merge(object));
--- a/burdocklever/src/replica/copy.rs
+++ b/burdocklever/src/replica/copy.rs
@@ -119,12 +119,14 @@
         let is_new = |o: &Object| o.version.era() == revision.era();
         let (new, held): (Vec<Object>, Vec<Object>) = objects.into_iter().partition(is_new);
         let mut changed = Vec::new();
-        for object in &held {
-            changed.extend(self.merge(object.clone()));
+        // What the peer holds back the copy for is not in the copy itself.
+        for object in held {
+            if !self.is_leftover(&object, revision) {
+                changed.extend(self.merge(object));
+            }
         }
         let (removals, mut copy): (Vec<Object>, Vec<Object>) =
             new.into_iter().partition(|o| o.body == Body::Removed);
-        copy.extend(held.into_iter().filter(|o| o.body != Body::Removed));
         copy.retain(|o| waiting.iter().all(|w| w.key != o.key));
         copy.extend(waiting.into_iter().filter(|o| o.body != Body::Removed));
         changed.extend(self.apply_copy(now, feed, copy, revision));
@@ -135,6 +137,14 @@
         changed
     }
 
+    /// Whether an object in the answer of a peer is of an era before `revision` and may be
+    /// older than what is known: the revisions of two eras cannot be compared.
+    pub(super) fn is_leftover(&self, object: &Object, revision: Version) -> bool {
+        let era = object.version.era();
+        let known = self.catalogue.entry(&object.key);
+        era < revision.era() && known.is_some_and(|k| k.version.era() != era)
+    }
+
     /// Holds back what a peer holds back of a copy of the store, for as long as this
     /// VM would.
     pub(super) fn defer(&mut self, now: Time, object: Object) {
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -277,6 +277,34 @@
     assert_eq!((goal(&knows), goal(&reader)), (150, 150));
 }
 
+/// The peer took the target for live in the era between, since it never heard that it
+/// had left.
+#[test]
+fn what_a_peer_keeps_of_an_era_before_brings_no_target_back() {
+    let known = host(old(43), 1, Lifecycle::Live);
+    let mut replica = Replica::default();
+    replica.apply_list(NOW, Feed::Hosts, vec![known.clone()], old(50));
+    replica.apply_changes(NOW, Feed::Hosts, vec![gone(known, old(60))], old(60));
+    let mut peer = Replica::default();
+    peer.apply_list(
+        NOW,
+        Feed::Hosts,
+        vec![host(new(43), 1, Lifecycle::Live)],
+        new(55),
+    );
+    let third = Version::new(2, 70);
+    peer.raise_history_floor(Feed::Hosts, third);
+    peer.apply_list(NOW, Feed::Hosts, vec![], third);
+    assert_eq!(peer.catalogue().all_hosts().count(), 1, "held back");
+    let from = [Version::default(); Feed::COUNT];
+    // At the beginning of the era, and once it is known.
+    for _ in 0..2 {
+        replica.apply_update(NOW, peer.update_since(NOW, &from));
+        assert_eq!(replica.catalogue().all_hosts().count(), 0);
+        assert_eq!(replica.era(), 2);
+    }
+}
+
 /// A target that left twice: in the lost time and, since its entry came back, again. The
 /// peer has listed the store only after that.
 #[test]
