--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -326,7 +326,8 @@
     }
 }
 
-/// Settings that are only read at the start.
+/// The settings without those that a reload puts in force, for comparison: these get
+/// the same value whatever they are.
 fn fixed_settings(settings: &GatewaySettings) -> GatewaySettings {
     GatewaySettings {
         platform: settings.datagram,
