Pass on a route change that was taken back within one store answer

Cause: a reader that got two configurations in one answer kept the version of an object whose body was the same before and after.

Ruled out by reading: lists after lost history (all objects get the new version), complete updates (their floor is raised), tombstones (they have their own version).

Also: a reply larger than the byte budget's burst was never sent, and after a withheld reply the peer held the next request until something changed.

--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -147,7 +147,10 @@
         match reply {
             Ok(reply) => {
                 link.members = members;
-                link.cursor = Some(reply.cursor);
+                link.cursor = Some(match reply.update {
+                    Some(_) => reply.cursor,
+                    None => reply.cursor.without_catalogue(),
+                });
                 Ok(self.apply_reply(reply))
             }
             Err(error) => {
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -50,6 +50,17 @@
     members: u64,
 }
 
+impl Cursor {
+    /// Cursor of a requester that got the members alone. With the full one, the peer
+    /// would hold the next request until its catalogue changes.
+    pub(crate) fn without_catalogue(self) -> Cursor {
+        Cursor {
+            progress: Progress::default(),
+            ..self
+        }
+    }
+}
+
 /// Reply to a [`CatalogueRequest`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CatalogueReply {
@@ -140,15 +151,16 @@
 }
 
 impl ByteBudget {
-    /// Takes `bytes` if that many are available.
+    /// Takes `bytes` if that many are available, or all if the bucket is full: a reply
+    /// larger than the burst would never be sent otherwise.
     fn take(&mut self, now: Time, bytes: u64) -> bool {
         let elapsed = now.since(self.refilled_at);
         let refill = elapsed.0.saturating_mul(self.rate) / 1000;
         self.bytes = self.bytes.saturating_add(refill).min(self.rate);
         self.refilled_at = now;
-        let available = bytes <= self.bytes;
+        let available = bytes <= self.bytes || self.bytes == self.rate;
         if available {
-            self.bytes -= bytes;
+            self.bytes = self.bytes.saturating_sub(bytes);
         }
         available
     }
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -222,12 +222,16 @@
         });
         // A watch of the routes returns all of them without gaps in their history. An
         // object with an unchanged body then keeps its version, so that it is not sent
-        // to peers again, unless that version is of an era before.
+        // to peers again, unless that version is of an era before. If it had another body
+        // in between, peers may know that one.
         let watched = feed == Feed::Routes && self.feeds[feed as usize].history_floor < revision;
+        let changed_between = repeated_keys(&list);
         let unchanged = |o: &Object| {
             let known = self.catalogue.get(&o.key);
             let same_era = |k: &Object| k.version.era() == o.version.era();
-            watched && known.is_some_and(|k| k.body == o.body && same_era(k))
+            watched
+                && !changed_between.contains(&o.key)
+                && known.is_some_and(|k| k.body == o.body && same_era(k))
         };
         let list = list.into_iter().filter(|o| !unchanged(o));
         let changes = removals.chain(list).collect();
@@ -517,6 +521,13 @@
     list.iter().map(|o| o.change).max().unwrap_or(0)
 }
 
+/// Keys of the objects of which a list has several states.
+fn repeated_keys(list: &[Object]) -> BTreeSet<ObjectKey> {
+    let mut keys = BTreeSet::new();
+    let repeated = list.iter().filter(|o| !keys.insert(&o.key));
+    repeated.map(|o| o.key.clone()).collect()
+}
+
 fn removed(key: ObjectKey, version: Version) -> Object {
     Object {
         key,
--- a/burdocklever/src/store.rs
+++ b/burdocklever/src/store.rs
@@ -74,7 +74,8 @@
 /// Result of a read.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Page {
-    /// Objects. Those of a watch are in the order of their changes.
+    /// Objects. Those of a watch are in the order of their changes; one that changed
+    /// several times is there with each of its states.
     pub objects: Vec<Object>,
     /// Whether these are all objects of the feed.
     pub complete: bool,
--- /dev/null
+++ b/burdocklever/tests/control_plane.rs
@@ -0,0 +1,131 @@
+//! A VM that follows a peer whose byte budget is short.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use burdocklever::{
+    Bounds, CallFuture, CatalogueRequest, Code, ControlPlane, ControlState, Environment, Feed,
+    LinkRate, Ms, Page, Peer, PlatformError, ReadRequest, Start, Store, Time,
+};
+use tokio::time::Instant;
+use wire::{Body, DomainState, Incarnation, Member, Object, ObjectKey, Version, VmId};
+
+/// Clocks start here, so that the age of what a peer knows can be expressed.
+const CLOCK_START_MS: u64 = 1_000_000;
+
+fn peer(id: u32, link: u32) -> Peer {
+    Peer {
+        member: Member {
+            vm: VmId(id),
+            incarnation: Incarnation(1),
+        },
+        domain: "accra".parse().unwrap(),
+        address: format!("10.0.0.{id}:80").parse().unwrap(),
+        link: LinkRate(link),
+    }
+}
+
+fn unreachable_store<T: Send + 'static>() -> CallFuture<T> {
+    let error = PlatformError {
+        code: Code::NoPlatform,
+        detail: "no store".into(),
+    };
+    Box::pin(async move { Err(error) })
+}
+
+/// A store with 800 failure domains that are out, and no change after that.
+fn store() -> Store {
+    let object = |n: u64| Object {
+        key: ObjectKey::new("domain", format!("domain-{n}")),
+        version: Version(n),
+        change: 0,
+        body: Body::Domain {
+            state: DomainState::Out,
+        },
+    };
+    Store {
+        read: Box::new(move |feed, request, _| {
+            let mut page = Page {
+                revision: Version(1000),
+                ..Page::default()
+            };
+            if feed == Feed::Domains && matches!(request, ReadRequest::List(..)) {
+                page.objects = (1..=800).map(object).collect();
+            }
+            let wait = match request {
+                ReadRequest::Watch(_, wait) => Duration::from_millis(wait.0.max(1)),
+                ReadRequest::List(..) => Duration::from_millis(4),
+            };
+            Box::pin(async move {
+                tokio::time::sleep(wait).await;
+                Ok(page)
+            })
+        }),
+        read_contacts: Box::new(|_| unreachable_store()),
+        write_contacts: Box::new(|_, _| unreachable_store()),
+    }
+}
+
+type Known = Arc<Mutex<Option<Arc<ControlState>>>>;
+
+fn environment(store: Store, other: Known, asked: Arc<AtomicU64>) -> Environment {
+    let begun = Instant::now();
+    Environment {
+        store,
+        query_peer: Box::new(move |_, request: CatalogueRequest, timeout: Ms| {
+            asked.fetch_add(1, Ordering::Relaxed);
+            let other = other.lock().unwrap().clone();
+            Box::pin(async move {
+                let answer = async {
+                    let state = other.ok_or("no peer")?;
+                    let body = state.answer(&request).await.map_err(|_| "no answer")?;
+                    rmp_serde::from_slice(&body).map_err(|_| "malformed")
+                };
+                let limit = Duration::from_millis(timeout.0);
+                let reply = tokio::time::timeout(limit, answer).await;
+                reply
+                    .unwrap_or(Err("late"))
+                    .map_err(|detail| PlatformError {
+                        code: Code::NoPeer,
+                        detail: detail.into(),
+                    })
+            })
+        }),
+        clock: Box::new(move || Time(CLOCK_START_MS + begun.elapsed().as_millis() as u64)),
+        random: Box::new(|| 0.5),
+        on_event: Box::new(|_| {}),
+    }
+}
+
+/// The parent's link allows 15 kB a second for replies, and its catalogue has more. The
+/// reply must not be withheld for good.
+#[tokio::test(start_paused = true)]
+async fn a_catalogue_larger_than_the_byte_budget_reaches_a_peer() {
+    let (parent, child): (Known, Known) = Default::default();
+    let asked = Arc::new(AtomicU64::new(0));
+    let start = |seeds: Vec<&str>| Start {
+        seeds: seeds.iter().map(|s| s.parse().unwrap()).collect(),
+        first: false,
+    };
+    let bounds = Bounds::default();
+    let env = environment(store(), child.clone(), Arc::default());
+    let reader = ControlPlane::spawn(peer(1, 1), true, bounds, &start(vec![]), env);
+    *parent.lock().unwrap() = Some(reader.state());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(reader.state().replica().is_complete());
+    let no_store = Store {
+        read: Box::new(|_, _, _| unreachable_store()),
+        read_contacts: Box::new(|_| unreachable_store()),
+        write_contacts: Box::new(|_, _| unreachable_store()),
+    };
+    let env = environment(no_store, parent.clone(), asked.clone());
+    let follower = ControlPlane::spawn(peer(2, 1), true, bounds, &start(vec!["10.0.0.1:80"]), env);
+    *child.lock().unwrap() = Some(follower.state());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(
+        follower.state().replica().is_complete(),
+        "{} requests, no catalogue",
+        asked.load(Ordering::Relaxed)
+    );
+}
--- a/burdocklever/tests/replica.rs
+++ b/burdocklever/tests/replica.rs
@@ -309,3 +309,35 @@
     let learned = peer.apply_update(later, reader.update_since(later, &peer.revisions()));
     assert_eq!(names(&learned), ["-1"]);
 }
+
+/// One reader sees each of two configurations, the second of which takes back a change of
+/// the first; another reader gets both in one answer and finds no difference. A VM that
+/// follows the first reader and then the other must not keep the change for good.
+#[test]
+fn a_change_that_was_taken_back_within_one_answer_reaches_peers() {
+    let routes = Feed::Routes;
+    let read = |replica: &mut Replica, list: Vec<Object>, revision: u64| {
+        replica.apply_list(NOW, routes, list, Version(revision))
+    };
+    let mut stepwise = Replica::default();
+    let mut at_once = Replica::default();
+    for reader in [&mut stepwise, &mut at_once] {
+        reader.raise_history_floor(routes, Version(5));
+        read(reader, vec![route("a", 1, 5), route("b", 1, 5)], 5);
+    }
+    let mut follower = Replica::default();
+    read(&mut stepwise, vec![route("a", 2, 9), route("b", 1, 9)], 9);
+    follower.apply_update(NOW, stepwise.update_since(NOW, &follower.revisions()));
+    // The state in between comes first, as the adapter reports it.
+    let both = vec![route("a", 2, 9), route("a", 1, 11), route("b", 1, 11)];
+    read(&mut at_once, both, 11);
+    let update = at_once.update_since(NOW, &follower.revisions());
+    assert_eq!(names(&update.objects), ["+a"], "b has not changed");
+    follower.apply_update(NOW, update);
+    let known = |replica: &Replica, name: &str| {
+        let key = ObjectKey::new("route", name);
+        replica.catalogue().get(&key).map(|o| o.body.clone())
+    };
+    assert_eq!(known(&follower, "a"), known(&at_once, "a"));
+    assert_eq!(known(&follower, "a"), Some(route("a", 1, 0).body));
+}
