Refuse flows at once while no target can be reached

Ruled out: peers that do not answer as the sign (they are asked every 1 to 2 s); refusing when all candidates are suspect (all are for a moment after a total loss, and probes end it).

Measured: replayed without a network, 14 of 30 flows are refused after the first 1.3 s, one flow a second and domain probes, and the first answer ends it; without the switch none is refused (as before).

--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -64,6 +64,8 @@
     NoRoom = 132, "no target has room";
     /// Too many packets wait for a decision.
     Backlog = 133, "too many packets wait";
+    /// The failure domains of all targets are out of service or cannot be reached.
+    Unreachable = 135, "no target can be reached";
     /// A settings file cannot be read.
     Unreadable = 200, "settings cannot be read";
     /// A settings file has invalid, missing, unknown or conflicting keys.
--- a/burdocklever/src/explain.rs
+++ b/burdocklever/src/explain.rs
@@ -175,6 +175,7 @@
             }
         }
         Code::NoRoom => format!("{vm} refused the flow: no target could take it"),
+        Code::Unreachable => format!("{vm} refused the flow: it could reach no target"),
         Code::NoService => format!("{vm} knew no service at the address, or it was removed"),
         Code::NoFlow => format!("{vm} did not know the target of the token"),
         Code::FlowEnded => {
--- a/burdocklever/src/forwarder.rs
+++ b/burdocklever/src/forwarder.rs
@@ -17,8 +17,9 @@
 };
 use crate::msg::FlowKey;
 use crate::placement::{self, Candidate, Choice};
+use crate::reachability;
 use crate::rendezvous;
-use crate::routing_table::{RoutingTable, Target};
+use crate::routing_table::{Domain, RoutingTable, Target};
 use crate::segment::{Segment, Stage, Verdict};
 use crate::time::{Ms, Time};
 
@@ -125,6 +126,8 @@
     config: ForwarderConfig,
     /// Number of VMs in this failure domain, this one included.
     domain_size: u32,
+    /// Whether flows are refused at once if no target can be reached.
+    refuses_unreachable: bool,
     now: Time,
     /// Last time that the routes were confirmed to be up to date.
     routes_confirmed: Option<Time>,
@@ -148,6 +151,7 @@
         Forwarder {
             config,
             domain_size: 1,
+            refuses_unreachable: false,
             now: Time(0),
             routes_confirmed: None,
             revision: Version(0),
@@ -178,6 +182,12 @@
         self.domain_size = vms;
     }
 
+    /// Sets whether flows are refused at once if no target can be reached. Otherwise
+    /// they go to targets that may not get them.
+    pub fn set_refuse_unreachable(&mut self, on: bool) {
+        self.refuses_unreachable = on;
+    }
+
     /// Sets the revision up to which the target list is known.
     pub fn set_revision(&mut self, revision: Version) {
         self.revision = revision;
@@ -313,8 +323,10 @@
                 .health
                 .record_retransmission(self.now);
         }
-        let Some(choice) = self.select_target(segment, key, &tried) else {
-            return Verdict::Reset(Code::NoRoom);
+        let unreachable = self.unreachable_domains();
+        let Some(choice) = self.select_target(segment, key, &tried, &unreachable) else {
+            let cut = unreachable.contains(&true);
+            return Verdict::Reset(if cut { Code::Unreachable } else { Code::NoRoom });
         };
         self.forget(key);
         let attempts = tried.iter().filter(|t| **t != NO_TARGET).count();
@@ -352,8 +364,28 @@
         }
     }
 
-    /// Selects a target for a flow. Those in `tried` are avoided, as suspect ones are.
-    fn select_target(&self, segment: &Segment, key: FlowKey, tried: &[usize]) -> Option<Choice> {
+    /// Whether each failure domain cannot be reached and is to get no probe now.
+    fn unreachable_domains(&self) -> Vec<bool> {
+        let is_unreachable = |(index, domain): (usize, &Domain)| {
+            let listed = |t: &&Target| t.domain == index && t.removed_at.is_none();
+            let targets = self.table.targets.iter().filter(listed);
+            self.refuses_unreachable
+                && !domain.local
+                && reachability::is_unreachable(self.now, targets.map(|t| &t.health))
+        };
+        let domains = self.table.domains.iter().enumerate();
+        domains.map(is_unreachable).collect()
+    }
+
+    /// Selects a target for a flow. Those in `tried` are avoided, as suspect ones are, and
+    /// those in `unreachable` failure domains are left out.
+    fn select_target(
+        &self,
+        segment: &Segment,
+        key: FlowKey,
+        tried: &[usize],
+        unreachable: &[bool],
+    ) -> Option<Choice> {
         let route = self.table.routes.get(&segment.service)?;
         let shares: Vec<(usize, u64, u32)> = route
             .shares
@@ -361,7 +393,9 @@
             .map(|(service, weight)| (*service, *service as u64, *weight))
             .collect();
         let select = |service| {
-            let candidates = self.candidates(service, key, tried);
+            let mut candidates = self.candidates(service, key, tried);
+            let is_reachable = |c: &Candidate| !unreachable[self.table.targets[c.target].domain];
+            candidates.retain(is_reachable);
             placement::select(&candidates, route.goal)
         };
         // The weights apply while the services have room. A flow of a full
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -71,6 +71,7 @@
 mod pin;
 mod placement;
 mod platform_client;
+mod reachability;
 mod rendezvous;
 mod replica;
 mod request;
--- a/burdocklever/src/target_health.rs
+++ b/burdocklever/src/target_health.rs
@@ -159,11 +159,25 @@
         self.last_response.map(|at| now.since(at))
     }
 
+    /// Last time that a caller's packet showed a response.
+    pub(crate) fn last_response(&self) -> Option<Time> {
+        self.last_response
+    }
+
+    /// Last time that an opening packet was sent to the target.
+    pub(crate) fn last_open(&self) -> Option<Time> {
+        self.last_open
+    }
+
+    /// Time since which the target has left an opening packet unanswered.
+    pub(crate) fn unaccepted_since(&self, now: Time) -> Option<Time> {
+        self.unanswered_since
+            .filter(|at| now.since(*at) >= ACCEPT_TIMEOUT)
+    }
+
     /// Whether the target appears not to respond.
     pub(crate) fn is_suspect(&self, now: Time) -> bool {
-        let unaccepted = self
-            .unanswered_since
-            .is_some_and(|at| now.since(at) >= ACCEPT_TIMEOUT);
+        let unaccepted = self.unaccepted_since(now).is_some();
         let silent = self
             .time_since_response(now)
             .is_none_or(|gap| gap >= RESPONSE_GAP);
--- a/burdocklever/tests/forwarder.rs
+++ b/burdocklever/tests/forwarder.rs
@@ -686,3 +686,67 @@
         "no target queues more than the others"
     );
 }
+
+/// A VM of `accra`, which is out of service, with four targets in each of two others.
+fn vm_of_a_domain_that_is_out() -> TestVm {
+    let mut vm = TestVm::new();
+    vm.forwarder.set_refuse_unreachable(true);
+    vm.add_host(1, "ledger", "accra", |_| {});
+    for id in 2..6 {
+        vm.add_host(id, "ledger", "tema", |_| {});
+        vm.add_host(id + 4, "ledger", "kumasi", |_| {});
+    }
+    vm.set_domain("accra", DomainState::Out);
+    vm
+}
+
+/// Load: a failure domain is out of service and cut off from all others. Its callers must
+/// not wait for targets that no VM there can reach.
+#[test]
+fn flows_are_refused_at_once_while_no_target_can_be_reached() {
+    let mut vm = vm_of_a_domain_that_is_out();
+    let mut refused = Vec::new();
+    for caller in 1..=30 {
+        let verdict = vm.send_packet(caller, |_| {});
+        if verdict == Verdict::Reset(Code::Unreachable) {
+            refused.push(caller);
+        }
+        vm.advance(100);
+    }
+    insta::assert_compact_debug_snapshot!(refused, @"[14, 15, 16, 17, 18, 19, 21, 22, 24, 25, 26, 27, 28, 29]");
+    // The cut ends: one flow of a domain is answered.
+    vm.advance(500);
+    let host = vm.open_flow(31).unwrap();
+    let domain = |host: HostId| if host.0 < 6 { "tema" } else { "kumasi" };
+    for caller in 32..40 {
+        let next = vm.open_flow(caller).unwrap();
+        assert_eq!(
+            domain(next),
+            domain(host),
+            "the other one is not known to be back"
+        );
+    }
+}
+
+#[test]
+fn targets_that_died_do_not_make_their_failure_domain_unreachable() {
+    let mut vm = vm_of_a_domain_that_is_out();
+    for caller in 1..60 {
+        match target(vm.send_packet(caller, |_| {})) {
+            Some(HostId(host @ 2..=4)) => assert!(host > 1),
+            Some(host) => assert!(target(vm.send_later(caller, host, 1, 0)).is_some()),
+            None => panic!("flow {caller} was refused"),
+        }
+        vm.advance(100);
+    }
+}
+
+#[test]
+fn flows_to_unreachable_targets_are_refused_only_if_it_is_switched_on() {
+    let mut vm = vm_of_a_domain_that_is_out();
+    vm.forwarder.set_refuse_unreachable(false);
+    for caller in 1..=30 {
+        assert!(target(vm.send_packet(caller, |_| {})).is_some());
+        vm.advance(100);
+    }
+}
