Place new flows by the load that all VMs share

Cause: a VM judged a target only by the packets that it forwarded itself, one of 68. A single pending request, multiplied by the VMs of the failure domain, made a target busy; no VM saw enough responses to tell that a target is slow; a target that hangs or refuses seemed idle to each VM anew.

Change: OwnLoad keeps a VM's own figures in five buckets of a second. own_load hands them out; set_shared_load takes the sums and computes each service's medians once. shared_placement takes the least loaded of three candidates by weighted rendezvous hash; flows leave the failure domain or the service only for a target that is not busy and expected to answer sooner, by more than a fifth. Without fresh figures placement::select and the choice of the service decide as before. "flow opened" shows shared_age_ms, "none" without figures.

--- a/burdocklever/src/forwarder.rs
+++ b/burdocklever/src/forwarder.rs
@@ -16,11 +16,14 @@
     track_existing, FlowState, MAX_TRIED, NO_TARGET,
 };
 use crate::msg::FlowKey;
-use crate::placement::{self, Candidate, Choice};
+use crate::placement::{self, Candidate};
 use crate::rendezvous;
 use crate::routing_table::{RoutingTable, Target};
 use crate::segment::{Segment, Stage, Verdict};
+use crate::shared_placement::{self, Placed, SharedFigures};
+use crate::target_load::{SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
+use crate::token::Token;
 
 /// Maximum number of flows with state. At 358 bytes each, they take 36 of the 64
 /// MB that a VM may use. At the intended fleet size a VM sees 13,500.
@@ -31,6 +34,11 @@
 /// Time after which a target that was removed from the target list is forgotten.
 /// No flow lives longer.
 const REMOVED_TARGET_TTL: Ms = Ms(120_000);
+/// Time within which a flow's packet counts the flow as active.
+const ACTIVE_FLOW_TIME: Ms = Ms(5000);
+/// Time without a packet after which a flow's opening packet counts as unanswered.
+/// Callers retransmit one after 200 ms.
+const OPEN_TIMEOUT: Ms = Ms(250);
 
 /// Settings that depend on the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,8 +59,11 @@
 pub struct OpenDecision {
     /// The selected target.
     pub host: HostId,
-    /// Its load, in sixteenths of a flow per slot.
+    /// Its load: by shared figures in hundredths of a request per second and slot,
+    /// otherwise in sixteenths of a flow per slot.
     pub load: u32,
+    /// Age of the shared figures that decided; none if this VM's own ones did.
+    pub shared_age: Option<Ms>,
     /// Candidates in this failure domain that are not suspect.
     pub local: u32,
     /// Candidates elsewhere that are not suspect.
@@ -134,6 +145,8 @@
     queue_empty: Time,
     table: RoutingTable,
     flows: FxHashMap<FlowKey, FlowState>,
+    /// Last packet of a flow up to which unanswered opening packets are counted.
+    opens_counted: Time,
     // Results that the caller has not taken yet.
     open_decision: Option<OpenDecision>,
     resets: Vec<Segment>,
@@ -154,6 +167,7 @@
             queue_empty: Time(0),
             table: RoutingTable::new(local_domain),
             flows: FxHashMap::default(),
+            opens_counted: Time(0),
             open_decision: None,
             resets: Vec::new(),
             failures: Vec::new(),
@@ -188,6 +202,53 @@
         self.routes_confirmed = Some(self.routes_confirmed.map_or(time, |t| t.max(time)));
     }
 
+    /// This VM's own figures of all targets with any activity, by token. To be
+    /// called about once a second.
+    pub fn own_load(&mut self, now: Time) -> Vec<(Token, TargetLoad)> {
+        self.now = self.now.max(now);
+        let now = self.now;
+        let until = Time(now.0.saturating_sub(OPEN_TIMEOUT.0));
+        let mut flows = vec![0u32; self.table.targets.len()];
+        for flow in self.flows.values() {
+            flows[flow.target] += u32::from(now.since(flow.last_packet) < ACTIVE_FLOW_TIME);
+            let due = self.opens_counted < flow.last_packet && flow.last_packet <= until;
+            if due && flow.stage == Stage::Open {
+                self.table.targets[flow.target].own.record_unanswered(now);
+            }
+        }
+        self.opens_counted = until;
+        let figures = |(target, flows): (&Target, u32)| {
+            let load = target.own.figures(now, flows);
+            (load != TargetLoad::default()).then_some((target.token, load))
+        };
+        let targets = self.table.targets.iter().zip(flows);
+        let mut loads: Vec<(Token, TargetLoad)> = targets.filter_map(figures).collect();
+        loads.sort_unstable_by_key(|(token, _)| *token);
+        loads
+    }
+
+    /// Sets the load of the targets as all VMs together see it. Until it is too
+    /// old, new flows are placed by it.
+    pub fn set_shared_load(&mut self, now: Time, load: SharedLoad) {
+        self.now = self.now.max(now);
+        let made = self.now.min(load.at);
+        let targets = &mut self.table.targets;
+        for service in &mut self.table.services {
+            let known = service.targets.iter().filter_map(|i| {
+                let target = &targets[*i];
+                Some((load.targets.get(&target.token)?, target.slots))
+            });
+            service.summary = shared_placement::summarize(known);
+            for i in &service.targets {
+                let target = &mut targets[*i];
+                let figures = load.targets.get(&target.token);
+                let previous = target.shared;
+                target.shared =
+                    shared_placement::prepare(made, figures, previous, &service.summary);
+            }
+        }
+    }
+
     /// Number of flows with state.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
@@ -309,11 +370,11 @@
         let tried = earlier_copy.map_or([NO_TARGET; MAX_TRIED], |f| f.tried);
         if let Some(flow) = earlier_copy {
             // The previously selected target has not answered yet.
-            self.table.targets[flow.target]
-                .health
-                .record_retransmission(self.now);
+            let target = &mut self.table.targets[flow.target];
+            target.health.record_retransmission(self.now);
+            record_silence(self.now, flow.last_packet, target);
         }
-        let Some(choice) = self.select_target(segment, key, &tried) else {
+        let Some(Placed { choice, age, .. }) = self.select_target(segment, key, &tried) else {
             return Verdict::Reset(Code::NoRoom);
         };
         self.forget(key);
@@ -335,9 +396,11 @@
         self.remember(key, flow);
         let target = &mut self.table.targets[choice.target];
         target.health.record_open(self.now);
+        target.own.record_open(self.now);
         self.open_decision = Some(OpenDecision {
             host: target.host,
             load: choice.load,
+            shared_age: age,
             local: choice.local,
             remote: choice.remote,
             suspects: choice.suspects,
@@ -353,23 +416,70 @@
     }
 
     /// Selects a target for a flow. Those in `tried` are avoided, as suspect ones are.
-    fn select_target(&self, segment: &Segment, key: FlowKey, tried: &[usize]) -> Option<Choice> {
+    fn select_target(&self, segment: &Segment, key: FlowKey, tried: &[usize]) -> Option<Placed> {
         let route = self.table.routes.get(&segment.service)?;
         let shares: Vec<(usize, u64, u32)> = route
             .shares
             .iter()
             .map(|(service, weight)| (*service, *service as u64, *weight))
             .collect();
-        let select = |service| {
-            let candidates = self.candidates(service, key, tried);
-            placement::select(&candidates, route.goal)
-        };
-        // The weights apply while the services have room. A flow of a full
-        // service goes to the next one of the route that has room.
+        let select = |service| self.select_in_service(service, key, tried, route.goal);
         let services = rendezvous::rank_weighted(key.0, &shares);
-        let choices: Vec<Choice> = services.into_iter().filter_map(select).collect();
-        let best = choices.iter().find(|c| !c.full).or(choices.first());
-        best.copied()
+        let mut choices = services.into_iter().filter_map(select);
+        let first = choices.next()?;
+        Some(shared_placement::select_service(first, choices))
+    }
+
+    /// Selects a target of a service: by shared figures if enough are fresh, otherwise
+    /// by this VM's own ones.
+    fn select_in_service(
+        &self,
+        service: usize,
+        key: FlowKey,
+        tried: &[usize],
+        goal: Ms,
+    ) -> Option<Placed> {
+        let candidates = self.candidates(service, key, tried);
+        let has_figures = |c: &&Candidate| self.fresh_figures(c.target).is_some();
+        let known = candidates.iter().filter(has_figures).count();
+        if shared_placement::is_enough(known, candidates.len()) {
+            let shared = |c: &Candidate| self.shared_candidate(c);
+            let shared: Vec<shared_placement::Candidate> = candidates.iter().map(shared).collect();
+            let summary = &self.table.services[service].summary;
+            return shared_placement::select(self.now, &shared, summary, goal);
+        }
+        let choice = placement::select(&candidates, goal)?;
+        let selected = candidates.iter().find(|c| c.target == choice.target)?;
+        Some(Placed {
+            choice,
+            busy: choice.full,
+            response_time: selected.response_time,
+            age: None,
+        })
+    }
+
+    /// The shared figures of a target, if they are fresh.
+    fn fresh_figures(&self, target: usize) -> Option<SharedFigures> {
+        let figures = self.table.targets[target].shared;
+        figures.filter(|f| self.now.since(f.made) <= shared_placement::MAX_FIGURES_AGE)
+    }
+
+    /// A candidate with its shared figures.
+    fn shared_candidate(&self, candidate: &Candidate) -> shared_placement::Candidate {
+        let target = &self.table.targets[candidate.target];
+        let figures = self.fresh_figures(candidate.target);
+        let own_flows = figures.map_or(target.health.open_flows, |f| {
+            target.own.opened_since(self.now, f.made)
+        });
+        shared_placement::Candidate {
+            target: candidate.target,
+            score: candidate.tie_breaker,
+            local: candidate.local,
+            suspect: candidate.suspect,
+            slots: target.slots.max(1),
+            figures,
+            own_flows: own_flows.saturating_mul(self.domain_size.max(1)),
+        }
     }
 
     /// The targets of a service that may get a flow. Those in `tried` count as suspect.
@@ -433,6 +543,10 @@
         let known = self.flows.get(&key).is_some_and(|f| f.target == index);
         if !known {
             self.forget(key);
+            let target = &mut self.table.targets[index];
+            if segment.len > 0 && target.token == segment.token {
+                target.own.record_request(now);
+            }
             self.remember(key, track_existing(now, segment, index));
         }
         let Some(flow) = self.flows.get_mut(&key) else {
@@ -441,10 +555,27 @@
         let target = &mut self.table.targets[index];
         flow.last_packet = now;
         self.response_time = process_ack(now, segment, flow, &mut target.health);
+        // Flows of an earlier incarnation say nothing about the load of this one.
+        let current = target.token == segment.token;
+        if let (true, Some(time)) = (current, self.response_time) {
+            target.own.record_response(now, time);
+        }
         let mut retransmission = false;
         if segment.len > 0 && known {
             let health = &mut target.health;
+            let waiting = flow.request_sent.is_some();
             retransmission = process_data(now, self.queue_empty, segment, flow, health);
+            if current && !waiting && flow.request_sent.is_some() {
+                target.own.record_request(now);
+            }
+            // Later copies of the same request are not counted again.
+            if let (true, 1, Some(sent)) = (
+                current && retransmission,
+                flow.retransmissions,
+                flow.request_sent,
+            ) {
+                record_silence(now, sent, target);
+            }
         }
         if segment.stage == Stage::Close && flow.stage != Stage::Close {
             release_counts(&mut target.health, flow);
@@ -606,3 +737,12 @@
         });
     }
 }
+
+/// Counts a packet that was sent at `sent` and again at `now` as unanswered, unless
+/// its target responded to anybody meanwhile.
+fn record_silence(now: Time, sent: Time, target: &mut Target) {
+    let gap = target.health.time_since_response(now);
+    if gap.is_none_or(|gap| gap >= now.since(sent)) {
+        target.own.record_unanswered(now);
+    }
+}
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -171,9 +171,13 @@
     send(state, out, to);
     if let Some(o) = open_decision {
         increment(&state.counters.flows_opened);
+        let shared_age = match o.shared_age {
+            Some(age) => log::kv::Value::from(age.0),
+            None => log::kv::Value::from("none"),
+        };
         log::info!(target: "flow", flow = flow_id(segment).as_str(), host = o.host.0, load = o.load,
             near = o.local, far = o.remote, suspects = o.suspects, copy = o.copy, revision = o.revision.revision(),
-            age_ms = o.age.0; "flow opened");
+            age_ms = o.age.0, shared_age_ms = shared_age; "flow opened");
     }
 }
 
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -77,6 +77,7 @@
 mod routing_table;
 mod segment;
 mod settings;
+mod shared_placement;
 mod status;
 mod store;
 mod takeover;
--- a/burdocklever/src/rendezvous.rs
+++ b/burdocklever/src/rendezvous.rs
@@ -43,12 +43,18 @@
     let mut scored: Vec<(f64, &T)> = candidates
         .iter()
         .filter(|(_, _, weight)| *weight > 0)
-        .map(|(item, id, weight)| (-ln_unit(score(key, *id)) / f64::from(*weight), item))
+        .map(|(item, id, weight)| (weighted_rank(score(key, *id), *weight), item))
         .collect();
     scored.sort_by(|a, b| a.0.total_cmp(&b.0));
     scored.into_iter().map(|(_, item)| item.clone()).collect()
 }
 
+/// Rank of a candidate with this score by weighted rendezvous hashing; the lowest is
+/// first. The weight must not be zero.
+pub(crate) fn weighted_rank(score: u64, weight: u32) -> f64 {
+    -ln_unit(score) / f64::from(weight)
+}
+
 /// Natural logarithm of a score mapped to the open interval (0, 1).
 fn ln_unit(score: u64) -> f64 {
     const BITS: u32 = 53;
--- a/burdocklever/src/routing_table.rs
+++ b/burdocklever/src/routing_table.rs
@@ -7,7 +7,9 @@
 };
 
 use crate::segment::Segment;
+use crate::shared_placement::{ServiceSummary, SharedFigures};
 use crate::target_health::TargetHealth;
+use crate::target_load::OwnLoad;
 use crate::time::{Ms, Time};
 use crate::token::Token;
 
@@ -29,6 +31,10 @@
     /// End of its cold start.
     pub(crate) cold_until: Time,
     pub(crate) health: TargetHealth,
+    /// This VM's own figures.
+    pub(crate) own: OwnLoad,
+    /// The figures of all VMs, if any are known.
+    pub(crate) shared: Option<SharedFigures>,
 }
 
 /// A service and its targets.
@@ -40,6 +46,8 @@
     pub(crate) targets: Vec<usize>,
     /// Target indices by token.
     pub(crate) tokens: FxHashMap<Token, usize>,
+    /// What the shared figures of its targets have in common.
+    pub(crate) summary: ServiceSummary,
 }
 
 /// A failure domain.
@@ -203,6 +211,8 @@
         let target = &mut self.targets[index];
         if target.incarnation != host.incarnation {
             target.health = TargetHealth::default();
+            target.own = OwnLoad::default();
+            target.shared = None;
             target.incarnation = host.incarnation;
         }
         target.address = host.address;
@@ -254,6 +264,8 @@
             removed_at: None,
             cold_until: Time(0),
             health: TargetHealth::default(),
+            own: OwnLoad::default(),
+            shared: None,
         });
         self.hosts.insert(host.id, index);
         self.services[service].targets.push(index);
@@ -269,6 +281,7 @@
             pool: None,
             targets: Vec::new(),
             tokens: FxHashMap::default(),
+            summary: ServiceSummary::default(),
         });
         self.services.len() - 1
     }
