Share the load of targets between VMs

A VM judges a target by the packets that it forwards itself, as one of 68, so it takes one pending request for a full target and cannot tell a slow one (docs/OVERLOAD.md, part 1).

VMs now sum up their figures along the tree of a failure domain. Roots exchange the sums, and replies bring them down. Reports ride on the requests and replies that exist, as an optional last field.

Ruled out: tokens and varints for each entry. At 4,096 bytes a second, a VM that is polled by 22 others needs 9 s or more for 150 targets (worked out), longer than figures live; entries now take 3 bytes, and the token is left out between VMs with the same targets. Ruled out: the oldest age as that of a sum, since one dead VM would make all figures too old.

--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -141,7 +141,8 @@
     /// Returns whether the reply had a catalogue.
     async fn query(&self, peer: &Peer, wait: Ms, link: &mut Link) -> Result<bool> {
         let vm = peer.member.vm;
-        let (request, members) = self.request(wait, link.cursor, Some(vm), link.members);
+        let (mut request, members) = self.request(wait, link.cursor, Some(vm), link.members);
+        request.load = self.load_request(peer);
         let limit = wait + ROUND_TRIP_MAX;
         let reply = (self.query_peer)(peer.address, request, limit).await;
         match reply {
@@ -215,6 +216,7 @@
     loop {
         let position = state.position();
         update_reading(state, &position);
+        state.set_load_root(position.rank == 0);
         let next = position.parent.as_ref().map(|p| p.member.vm);
         if next != current {
             log::info!(target: "peer", from = current.map_or(0, |v: VmId| v.0),
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -12,12 +12,17 @@
 
 use crate::code::Code;
 use crate::freshness::Bounds;
+use crate::load_report::{DomainKey, PackedLoad};
+use crate::load_table::{LoadBudget, LoadShare, LoadStats, LoadTable, LoadTarget, Recipient};
 use crate::membership::{Condition, MemberNews, Membership, Peer};
 use crate::peer_selection::{position, Position};
 use crate::platform_client::{Error, Result};
+use crate::rendezvous;
 use crate::replica::{Replica, ReplicaUpdate};
 use crate::store::{CallFuture, Feed, Store};
+use crate::target_load::{SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
+use crate::token::Token;
 
 /// Part of a link, as a divisor, that replies to peers may take. Packets share it.
 const REPLY_LINK_DIVISOR: u64 = 8;
@@ -37,6 +42,10 @@
     pub members: Vec<MemberNews>,
     /// Whether the requester wants no members in return.
     pub brief: bool,
+    /// Load of the targets below the requester, or in its failure domain. Left out
+    /// unless load is shared: a build without the field refuses longer messages.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<PackedLoad>,
 }
 
 /// Identifies the state of a VM at the time of a reply. A requester that returns the
@@ -73,6 +82,9 @@
     pub members: Vec<MemberNews>,
     /// Cursor for the next request.
     pub cursor: Cursor,
+    /// Load of the targets, if the request had one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<PackedLoad>,
 }
 
 /// Sends a request to the peer at an address, with a timeout.
@@ -136,12 +148,26 @@
     /// maximum.
     peer_answer: Mutex<Option<(Time, u64)>>,
     reply_budget: Mutex<ByteBudget>,
+    load: Mutex<LoadState>,
     pub(crate) query_peer: Box<QueryPeer>,
     pub(crate) clock: Box<dyn Fn() -> Time + Send + Sync>,
     pub(crate) random: Box<dyn Fn() -> f64 + Send + Sync>,
     on_event: Box<dyn Fn(ControlEvent<'_>) + Send + Sync>,
 }
 
+/// Shared load, and whether it is on.
+#[derive(Debug)]
+struct LoadState {
+    table: LoadTable,
+    share: LoadShare,
+    /// Whether load is shared now; none before that was first decided.
+    on: Option<bool>,
+    /// Whether there were shared figures last.
+    available: bool,
+    /// Number of changes to the replica when the targets were last taken from it.
+    changes: u64,
+}
+
 /// Token bucket over bytes of replies, with a burst of one second.
 #[derive(Debug)]
 struct ByteBudget {
@@ -175,6 +201,13 @@
     /// State of VM `own` without a catalogue. Also returns the store.
     pub(crate) fn new(own: Peer, bounds: Bounds, environment: Environment) -> (Self, Store) {
         let rate = own.link.bytes_per_s() / REPLY_LINK_DIVISOR;
+        let load = LoadState {
+            table: LoadTable::new(DomainKey::of(&own.domain), LoadBudget::default()),
+            share: LoadShare::Off,
+            on: None,
+            available: false,
+            changes: 0,
+        };
         let state = ControlState {
             bounds,
             replica: Mutex::new(Replica::new(bounds)),
@@ -192,6 +225,7 @@
                 bytes: rate,
                 refilled_at: (environment.clock)(),
             }),
+            load: Mutex::new(load),
             query_peer: environment.query_peer,
             clock: environment.clock,
             random: environment.random,
@@ -283,6 +317,7 @@
     pub async fn answer(&self, request: &CatalogueRequest) -> Result<Vec<u8>> {
         let sender = request.sender.peer.member.vm;
         self.merge_members(sender, &request.members, Some(&request.sender));
+        self.accept_load(&request.sender, request.load.as_ref());
         self.wait_for_news(request).await;
         let (members, change) = self.members_for(request);
         let own = self.members().own_news();
@@ -300,6 +335,10 @@
                 members: change,
             },
             sender: own,
+            load: request.load.as_ref().and_then(|_| {
+                let domain = DomainKey::of(&request.sender.peer.domain);
+                self.load_report(sender, Recipient::Requester(domain))
+            }),
         };
         let body = rmp_serde::to_vec(&reply).map_err(peer_error)?;
         if lock(&self.reply_budget).take((self.clock)(), body.len() as u64) {
@@ -392,6 +431,7 @@
     pub(crate) fn apply_reply(&self, reply: CatalogueReply) -> bool {
         let vm = reply.sender.peer.member.vm;
         self.merge_members(vm, &reply.members, Some(&reply.sender));
+        self.accept_load(&reply.sender, reply.load.as_ref());
         let Some(update) = reply.update else {
             return false;
         };
@@ -425,6 +465,113 @@
         });
     }
 
+    /// Sets whether load is shared, and the bytes per second that this VM may send of it.
+    pub fn set_load_sharing(&self, share: LoadShare, budget: LoadBudget) {
+        let mut load = lock(&self.load);
+        load.share = share;
+        load.table.set_budget(budget);
+    }
+
+    /// Sets this VM's own figures. Returns those of all VMs; there are none while load is
+    /// not shared. To be called once a second.
+    pub fn exchange_load(&self, own: Vec<(Token, TargetLoad)>) -> SharedLoad {
+        let now = (self.clock)();
+        let vms = {
+            let members = self.members();
+            members.live_in(&members.own().domain).count()
+        };
+        let changes = self.progress.borrow().changes;
+        let mut load = lock(&self.load);
+        let on = load.share.applies(vms);
+        if load.on.replace(on) != Some(on) {
+            log::info!(target: "load", shared = on, reason = load.share.reason(vms).as_str();
+                "sharing of load decided");
+        }
+        if !on {
+            load.table.clear();
+        } else if load.changes != changes || load.changes == 0 {
+            load.changes = changes;
+            drop(load);
+            let targets = self.load_targets();
+            load = lock(&self.load);
+            load.table.set_targets(targets);
+        }
+        if on {
+            load.table.set_own(now, own);
+        }
+        let shared = load.table.shared(now);
+        let available = !shared.targets.is_empty();
+        if std::mem::replace(&mut load.available, available) != available {
+            match available {
+                true => log::info!(target: "load", vms = shared.vms,
+                    targets = shared.targets.len(); "shared load available"),
+                false => log::warn!(target: "load", shared = on;
+                    "shared load too old; placing by own figures"),
+            }
+        }
+        shared
+    }
+
+    /// Targets of the catalogue.
+    fn load_targets(&self) -> Vec<LoadTarget> {
+        let replica = self.replica();
+        let target = |object: &Object| match &object.body {
+            Body::Host(host) => Some(LoadTarget {
+                domain: DomainKey::of(&host.domain),
+                service: rendezvous::hash(host.service.as_str().as_bytes()),
+                token: Token::of(host.id, host.incarnation),
+            }),
+            _ => None,
+        };
+        replica.catalogue().objects().filter_map(target).collect()
+    }
+
+    /// Counters and gauges of shared load.
+    pub fn load_stats(&self) -> LoadStats {
+        lock(&self.load).table.stats()
+    }
+
+    /// Tells whether this VM is the root of its failure domain, which sums up its load.
+    pub(crate) fn set_load_root(&self, root: bool) {
+        lock(&self.load).table.set_root(root);
+    }
+
+    /// Load to send to a peer; none while it is not shared.
+    pub(crate) fn load_report(&self, to: VmId, recipient: Recipient) -> Option<PackedLoad> {
+        let mut load = lock(&self.load);
+        let on = load.on == Some(true);
+        on.then(|| load.table.report((self.clock)(), to, recipient))?
+    }
+
+    /// Load for a request to a peer that this VM polls: to its parent, or as the root of
+    /// its failure domain to another root.
+    pub(crate) fn load_request(&self, to: &Peer) -> Option<PackedLoad> {
+        let local = self.members().own().domain == to.domain;
+        let recipient = match (lock(&self.load).table.is_root(), local) {
+            (false, true) => Recipient::Parent,
+            (true, false) => Recipient::Root,
+            _ => return None,
+        };
+        self.load_report(to.member.vm, recipient)
+    }
+
+    /// Takes over the load that a peer told, if load is shared.
+    fn accept_load(&self, sender: &MemberNews, packed: Option<&PackedLoad>) {
+        let now = (self.clock)();
+        let mut load = lock(&self.load);
+        let Some(packed) = packed.filter(|_| load.on == Some(true)) else {
+            return;
+        };
+        let peer = &sender.peer;
+        let read = load
+            .table
+            .accept(now, peer.member, DomainKey::of(&peer.domain), packed);
+        if !read {
+            log::warn!(target: "load", vm = peer.member.vm.0, bytes = packed.0.len();
+                "load report cannot be read; left out");
+        }
+    }
+
     /// Records and reports that a call to the store failed.
     pub(crate) fn store_failed(&self, feed: Feed, error: &Error) {
         (self.on_event)(ControlEvent::StoreFailed(feed));
@@ -485,6 +632,7 @@
             sender: known.own_news(),
             members: news,
             brief: false,
+            load: None,
         };
         (request, known.changes())
     }
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::gateway_settings::GatewaySettings;
 use crate::held_packets::HeldPackets;
 use crate::join::Start;
+use crate::load_table::{LoadBudget, LoadShare};
 use crate::membership::Peer;
 use crate::metrics::{Metrics, Sample};
 use crate::platform_client::{self, jitter};
@@ -213,6 +214,7 @@
             environment,
         );
         let control_state = control.state();
+        control_state.set_load_sharing(settings.load_share, settings.load_budget);
         if let Some(address) = settings.peer {
             serve(address, exchange::app(control_state.clone())).await?;
         }
@@ -260,6 +262,7 @@
                     }
                     suspects = drop_expired(&self.state, &self.control.state(), suspects);
                     expire_held_packets(&self.state);
+                    share_load(&self.state, &self.control.state());
                 }
             }
         }
@@ -303,6 +306,9 @@
         };
         let old = std::mem::replace(&mut self.settings, settings);
         self.state.forwarder().set_config(config(&self.settings));
+        self.control
+            .state()
+            .set_load_sharing(self.settings.load_share, self.settings.load_budget);
         if fixed_settings(&old) != fixed_settings(&self.settings) {
             log::warn!(target: "daemon",
                 "changes to [vm], [listen], [log] and the bounds take effect only after a restart");
@@ -336,6 +342,8 @@
         evacuation_time: Ms(0),
         heartbeat_interval: Ms(0),
         stop_timeout: Ms(0),
+        load_share: LoadShare::Auto,
+        load_budget: LoadBudget::default(),
         ..settings.clone()
     }
 }
@@ -441,6 +449,14 @@
     new_suspects
 }
 
+/// Exchanges this VM's figures on the load of targets for those of all VMs.
+fn share_load(state: &GatewayState, control_state: &ControlState) {
+    let now = state.now();
+    let own = state.forwarder().own_load(now);
+    let shared = control_state.exchange_load(own);
+    state.forwarder().set_shared_load(now, shared);
+}
+
 async fn serve(address: Address, app: Router) -> Result<()> {
     let listener = tokio::net::TcpListener::bind(address)
         .await
@@ -485,6 +501,7 @@
     // Lock order: the control state before the forwarder.
     let ready = is_ready(state, control_state);
     let era = u64::from(control_state.store_era());
+    let load_stats = control_state.load_stats();
     let forwarder = state.forwarder();
     Sample {
         counters: vec![
@@ -496,6 +513,8 @@
             ("flows_opened", load(&c.flows_opened)),
             ("flows_reset", load(&c.resets)),
             ("store_calls_failed", load(&c.store_errors)),
+            ("load_bytes_sent", load_stats.bytes_sent),
+            ("load_entries_refused", load_stats.entries_refused),
         ],
         gauges: vec![
             ("flows", forwarder.flow_count() as u64),
@@ -504,6 +523,9 @@
             ("ready", u64::from(ready)),
             ("feeds_lost", control_state.failing_feeds() as u64),
             ("store_era", era),
+            ("load_targets", load_stats.targets),
+            ("load_vms", load_stats.vms),
+            ("load_age_ms", load_stats.age.0),
         ],
     }
 }
--- a/burdocklever/src/gateway_settings.rs
+++ b/burdocklever/src/gateway_settings.rs
@@ -9,6 +9,7 @@
 use crate::freshness::Bounds;
 use crate::ini_file::{IniFile, KeyRule, Result};
 use crate::link_rate::LinkRate;
+use crate::load_table::{LoadBudget, LoadShare};
 use crate::time::Ms;
 
 /// Settings of a gateway.
@@ -46,6 +47,10 @@
     pub heartbeat_interval: Ms,
     /// Time after which a VM that was told to stop is killed, from `[limits] stop`.
     pub stop_timeout: Ms,
+    /// Whether VMs share the load of targets, from `[load] share`.
+    pub load_share: LoadShare,
+    /// Bytes per second that the VM may send of it, from `[load] budget`.
+    pub load_budget: LoadBudget,
     /// Least severe level that is logged.
     pub level: LevelFilter,
 }
@@ -74,6 +79,8 @@
     KeyRule::new("limits", "leave", false),
     KeyRule::new("limits", "heartbeat", false),
     KeyRule::new("limits", "stop", false),
+    KeyRule::new("load", "share", false),
+    KeyRule::new("load", "budget", false),
     KeyRule::new("log", "level", false),
 ];
 
@@ -122,6 +129,15 @@
     let link = ini.value("limits", "link", "a link rate such as 200mbit");
     let heartbeat_interval = ini.value("limits", "heartbeat", duration);
     let stop_timeout = ini.value("limits", "stop", duration);
+    let load_share = ini.value("load", "share", "auto, on or off");
+    let load_budget = ini.value(
+        "load",
+        "budget",
+        "a number of bytes per second from 512 to 65536",
+    );
+    if load_share == Some(LoadShare::On) && peer.is_none() {
+        ini.report("load", "share", "`on` needs `[listen] peer`");
+    }
     let level = ini.value("log", "level", "off, error, warn, info, debug or trace");
     if ready.is_some() && ready == metrics {
         ini.report("listen", "metrics", "same address as `ready`");
@@ -144,6 +160,8 @@
         evacuation_time: bounds.domains,
         heartbeat_interval: heartbeat_interval.unwrap_or(HEARTBEAT_DEFAULT),
         stop_timeout: stop_timeout.unwrap_or(STOP_DEFAULT),
+        load_share: load_share.unwrap_or_default(),
+        load_budget: load_budget.unwrap_or_default(),
         level: level.unwrap_or(LevelFilter::Info),
     })
 }
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -61,6 +61,8 @@
 mod join;
 pub mod json_log;
 mod link_rate;
+mod load_report;
+mod load_table;
 mod membership;
 mod metrics;
 mod msg;
@@ -117,6 +119,12 @@
 pub use ini_file::Error as IniError;
 pub use join::Start;
 pub use link_rate::LinkRate;
+pub use load_report::{
+    DomainKey, LoadPart, LoadReport, PackedLoad, TargetList, Unpacked, RATE_MAX,
+};
+pub use load_table::{
+    LoadBudget, LoadShare, LoadStats, LoadTable, LoadTarget, Recipient, LOAD_MAX_AGE,
+};
 pub use membership::{Condition, MemberNews, Membership, Peer};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
 pub use node::Node;
--- a/burdocklever/tests/control_plane.rs
+++ b/burdocklever/tests/control_plane.rs
@@ -6,7 +6,8 @@
 
 use burdocklever::{
     Bounds, CallFuture, CatalogueRequest, Code, ControlPlane, ControlState, Environment, Feed,
-    LinkRate, Ms, Page, Peer, PlatformError, ReadRequest, Start, Store, Time,
+    LinkRate, LoadBudget, LoadShare, Ms, Page, Peer, PlatformError, ReadRequest, Start, Store,
+    Time,
 };
 use tokio::time::Instant;
 use wire::{Body, DomainState, Incarnation, Member, Object, ObjectKey, Version, VmId};
@@ -129,3 +130,37 @@
         asked.load(Ordering::Relaxed)
     );
 }
+
+/// Guards against figures that are summed up but not exchanged: they ride on the polls
+/// of a VM that follows another, and only while sharing is on.
+#[tokio::test(start_paused = true)]
+async fn load_travels_with_the_catalogue() {
+    let (parent, child): (Known, Known) = Default::default();
+    let bounds = Bounds::default();
+    let start = |seeds: Vec<&str>| Start {
+        seeds: seeds.iter().map(|s| s.parse().unwrap()).collect(),
+        first: false,
+    };
+    let env = environment(store(), child.clone(), Arc::default());
+    let reader = ControlPlane::spawn(peer(1, 100), true, bounds, &start(vec![]), env);
+    *parent.lock().unwrap() = Some(reader.state());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let env = environment(store(), parent.clone(), Arc::default());
+    let follower = ControlPlane::spawn(peer(2, 1), true, bounds, &start(vec!["10.0.0.1:80"]), env);
+    *child.lock().unwrap() = Some(follower.state());
+    for (share, vms) in [
+        (LoadShare::Auto, 0),
+        (LoadShare::On, 2),
+        (LoadShare::Off, 0),
+    ] {
+        let mut seen = 0;
+        for _ in 0..6 {
+            for vm in [&reader, &follower] {
+                vm.state().set_load_sharing(share, LoadBudget::default());
+                seen = vm.state().exchange_load(Vec::new()).vms;
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        assert_eq!(seen, vms, "{share}");
+    }
+}
