Refuse flows of low priority while a service is short of room

Cause: with twice the load while a failure domain is out, targets reject requests at random and priority 1 is served no better than priority 2.

Change: `shortage` derives from the shared load how much of the lowest priority's new flows to refuse (BL134), `refusal` applies it to opening packets. Settings, metrics, log lines and `explain`.

Ruled out: a share linear in the occupancy with queues. Queues fill within 0.5 s, so with late figures the share swung between 0.4 and 0.9.

--- a/burdocklever/src/code.rs
+++ b/burdocklever/src/code.rs
@@ -64,6 +64,8 @@
     NoRoom = 132, "no target has room";
     /// Too many packets wait for a decision.
     Backlog = 133, "too many packets wait";
+    /// A service has too little room for all flows, and those of higher priority go first.
+    LowPriority = 134, "too little room for this priority";
     /// The failure domains of all targets are out of service or cannot be reached.
     Unreachable = 135, "no target can be reached";
     /// A settings file cannot be read.
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -512,6 +512,11 @@
         shared
     }
 
+    /// Whether load is shared, as last decided.
+    pub(crate) fn shares_load(&self) -> bool {
+        lock(&self.load).on == Some(true)
+    }
+
     /// Targets of the catalogue.
     fn load_targets(&self) -> Vec<LoadTarget> {
         let replica = self.replica();
--- a/burdocklever/src/explain.rs
+++ b/burdocklever/src/explain.rs
@@ -194,6 +194,17 @@
                 None => format!("{vm}: the target's failure domain is out of service"),
             }
         }
+        Code::LowPriority => {
+            let field = |name| line.number(name).unwrap_or(0);
+            format!(
+                "{vm} refused the flow for lack of room: {} requests in progress per 100 slots \
+                 {} ms before, {}% of the flows of priority {} refused",
+                field("occupancy"),
+                field("age_ms"),
+                field("share"),
+                field("priority")
+            )
+        }
         code => format!("{vm}: {code} {}", code.text()),
     }
 }
--- a/burdocklever/src/forwarder.rs
+++ b/burdocklever/src/forwarder.rs
@@ -18,10 +18,12 @@
 use crate::msg::FlowKey;
 use crate::placement::{self, Candidate};
 use crate::reachability;
+use crate::refusal::{Refusal, Refusals, ServiceRoom};
 use crate::rendezvous;
 use crate::routing_table::{Domain, RoutingTable, Target};
 use crate::segment::{Segment, Stage, Verdict};
 use crate::shared_placement::{self, Placed, SharedFigures};
+use crate::shortage::ShortageSettings;
 use crate::target_load::{SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
 use crate::token::Token;
@@ -150,6 +152,7 @@
     flows: FxHashMap<FlowKey, FlowState>,
     /// Last packet of a flow up to which unanswered opening packets are counted.
     opens_counted: Time,
+    refusals: Refusals,
     // Results that the caller has not taken yet.
     open_decision: Option<OpenDecision>,
     resets: Vec<Segment>,
@@ -172,6 +175,7 @@
             table: RoutingTable::new(local_domain),
             flows: FxHashMap::default(),
             opens_counted: Time(0),
+            refusals: Refusals::default(),
             open_decision: None,
             resets: Vec::new(),
             failures: Vec::new(),
@@ -185,6 +189,29 @@
         self.config = config;
     }
 
+    /// Replaces the settings of refusing for lack of room.
+    pub fn set_shortage(&mut self, settings: ShortageSettings) {
+        self.refusals.settings = settings;
+    }
+
+    /// Takes the details of a flow that the last packet's verdict refuses.
+    pub fn take_refusal(&mut self) -> Option<Refusal> {
+        self.refusals.take()
+    }
+
+    /// Number of flows refused for lack of room, by priority.
+    pub fn refused_flows(&self) -> Vec<(u32, u64)> {
+        let counts = self.refusals.counts.iter();
+        counts
+            .map(|(priority, flows)| (*priority, *flows))
+            .collect()
+    }
+
+    /// Room of the services.
+    pub fn rooms(&self, now: Time) -> Vec<ServiceRoom> {
+        self.refusals.rooms(now, &self.table)
+    }
+
     /// Records that the receive queue is empty. While it is not, an acknowledgement
     /// that seems to be missing may still be in it.
     pub fn record_empty_queue(&mut self, now: Time) {
@@ -241,6 +268,7 @@
     /// old, new flows are placed by it.
     pub fn set_shared_load(&mut self, now: Time, load: SharedLoad) {
         self.now = self.now.max(now);
+        self.refusals.update(self.now, &self.table, &load);
         let made = self.now.min(load.at);
         let targets = &mut self.table.targets;
         for service in &mut self.table.services {
@@ -378,6 +406,12 @@
         let known = self.flows.get(&key).copied();
         let earlier_copy = known.filter(|f| f.stage == Stage::Open && f.next_seq == segment.seq);
         let tried = earlier_copy.map_or([NO_TARGET; MAX_TRIED], |f| f.tried);
+        if earlier_copy.is_none() {
+            let verdict = self.refusals.decide(self.now, &self.table, segment, key);
+            if let Some(verdict) = verdict {
+                return verdict;
+            }
+        }
         if let Some(flow) = earlier_copy {
             // The previously selected target has not answered yet.
             let target = &mut self.table.targets[flow.target];
@@ -451,18 +485,13 @@
         unreachable: &[bool],
     ) -> Option<Placed> {
         let route = self.table.routes.get(&segment.service)?;
-        let shares: Vec<(usize, u64, u32)> = route
-            .shares
-            .iter()
-            .map(|(service, weight)| (*service, *service as u64, *weight))
-            .collect();
         let is_reachable = |c: &Candidate| !unreachable[self.table.targets[c.target].domain];
         let select = |service| {
             let mut candidates = self.candidates(service, key, tried);
             candidates.retain(is_reachable);
             self.select_in_service(service, &candidates, route.goal)
         };
-        let services = rendezvous::rank_weighted(key.0, &shares);
+        let services = rendezvous::rank_weighted(key.0, &route.weighted());
         let mut choices = services.into_iter().filter_map(select);
         let first = choices.next()?;
         Some(shared_placement::select_service(first, choices))
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -31,8 +31,10 @@
 use crate::membership::Peer;
 use crate::metrics::{Metrics, Sample};
 use crate::platform_client::{self, jitter};
+use crate::refusal::{RefusalState, ServiceRoom};
 use crate::replica::Replica;
 use crate::segment::Segment;
+use crate::shortage::ShortageSettings;
 use crate::store::{Feed, Store};
 use crate::time::{Clock, Ms, Time};
 use crate::token::Token;
@@ -187,7 +189,8 @@
     ) -> Result<Gateway> {
         let socket = std::net::UdpSocket::bind(settings.datagram).map_err(bind_error)?;
         socket.set_nonblocking(true).map_err(bind_error)?;
-        let forwarder = Forwarder::new(settings.domain.clone(), config(&settings));
+        let mut forwarder = Forwarder::new(settings.domain.clone(), config(&settings));
+        forwarder.set_shortage(settings.shortage);
         let (check_queue, check_requests) = mpsc::channel(CHECK_QUEUE_LEN);
         let state = Arc::new(GatewayState {
             forwarder: Mutex::new(forwarder),
@@ -251,6 +254,7 @@
     pub async fn run(mut self, mut signals: Signals) {
         let mut housekeeping = tokio::time::interval(HOUSEKEEPING_INTERVAL);
         let mut suspects = 0;
+        let mut rooms = Vec::new();
         loop {
             tokio::select! {
                 _ = signals.term.recv() => break,
@@ -261,6 +265,7 @@
                         self.reload("file changed");
                     }
                     suspects = drop_expired(&self.state, &self.control.state(), suspects);
+                    rooms = log_rooms(&self.state, rooms);
                     expire_held_packets(&self.state);
                     share_load(&self.state, &self.control.state());
                 }
@@ -309,6 +314,7 @@
         self.control
             .state()
             .set_load_sharing(self.settings.load_share, self.settings.load_budget);
+        self.state.forwarder().set_shortage(self.settings.shortage);
         if fixed_settings(&old) != fixed_settings(&self.settings) {
             log::warn!(target: "daemon",
                 "changes to [vm], [listen], [log] and the bounds take effect only after a restart");
@@ -344,6 +350,7 @@
         stop_timeout: Ms(0),
         load_share: LoadShare::Auto,
         load_budget: LoadBudget::default(),
+        shortage: ShortageSettings::default(),
         ..settings.clone()
     }
 }
@@ -454,7 +461,42 @@
     let now = state.now();
     let own = state.forwarder().own_load(now);
     let shared = control_state.exchange_load(own);
-    state.forwarder().set_shared_load(now, shared);
+    let mut forwarder = state.forwarder();
+    forwarder.set_refuse_unreachable(control_state.shares_load());
+    forwarder.set_shared_load(now, shared);
+}
+
+/// Logs the services that begin or cease to refuse flows, and those that refuse none
+/// for another reason than room. Returns the present state.
+fn log_rooms(state: &GatewayState, before: Vec<ServiceRoom>) -> Vec<ServiceRoom> {
+    let rooms = state.forwarder().rooms(state.now());
+    for room in &rooms {
+        let earlier = before.iter().find(|r| r.service == room.service);
+        let earlier = earlier.map(|r| &r.state);
+        if earlier == Some(&room.state) {
+            continue;
+        }
+        let (service, occupancy) = (&*room.service, room.occupancy.unwrap_or(0));
+        match (&room.state, earlier) {
+            (RefusalState::Off(reason), _) => {
+                log::info!(target: "shortage", service = service, cause = *reason;
+                    "refuses no flows for lack of room");
+            }
+            (RefusalState::Short, _) => {
+                log::warn!(target: "shortage", service = service, occupancy = occupancy,
+                    age_ms = room.age.0; "shortage of room begins");
+            }
+            (RefusalState::Room, Some(RefusalState::Short)) => {
+                log::info!(target: "shortage", service = service, occupancy = occupancy,
+                    age_ms = room.age.0; "shortage of room ends");
+            }
+            (RefusalState::Room, _) => {
+                log::info!(target: "shortage", service = service, occupancy = occupancy,
+                    age_ms = room.age.0; "refuses flows when room is short");
+            }
+        }
+    }
+    rooms
 }
 
 async fn serve(address: Address, app: Router) -> Result<()> {
@@ -527,5 +569,7 @@
             ("load_vms", load_stats.vms),
             ("load_age_ms", load_stats.age.0),
         ],
+        refused: forwarder.refused_flows(),
+        rooms: forwarder.rooms(state.now()),
     }
 }
--- a/burdocklever/src/gateway_packets.rs
+++ b/burdocklever/src/gateway_packets.rs
@@ -12,6 +12,7 @@
 use crate::forwarder::TargetFailure;
 use crate::gateway::{increment, lock, GatewayState};
 use crate::held_packets::HeldPacket;
+use crate::refusal::Refusal;
 use crate::segment::{Segment, Verdict};
 
 /// Size of the receive buffer. Packets have 32 bytes of header and at most 1200
@@ -136,6 +137,7 @@
     let mut forwarder = state.forwarder();
     let verdict = forwarder.handle_packet(now, segment);
     let open_decision = forwarder.take_open_decision();
+    let refusal = forwarder.take_refusal();
     let response_time = forwarder.take_response_time();
     let check_request = forwarder.take_check_request();
     let pending_resets = forwarder.has_pending_resets();
@@ -150,6 +152,11 @@
     if pending_resets {
         send_resets(state, out);
     }
+    if let Some(r) = refusal {
+        log_refusal(segment, &r);
+        increment(&state.counters.resets);
+        return send_reset(state, segment, out);
+    }
     out.clear();
     let to = match verdict {
         Verdict::Forward {
@@ -200,6 +207,10 @@
 fn reset(state: &GatewayState, segment: &Segment, code: Code, out: &mut Vec<u8>) {
     increment(&state.counters.resets);
     log_rejection(segment, code, "flow reset");
+    send_reset(state, segment, out);
+}
+
+fn send_reset(state: &GatewayState, segment: &Segment, out: &mut Vec<u8>) {
     out.clear();
     let to = (state.codec.reset)(segment, state.address, out);
     send(state, out, to);
@@ -218,6 +229,13 @@
     format!("{}-{}", segment.caller, segment.service)
 }
 
+fn log_refusal(segment: &Segment, refusal: &Refusal) {
+    let code = Code::LowPriority;
+    log::info!(target: "flow", flow = flow_id(segment).as_str(), code = code.to_string().as_str(),
+        reason = code.text(), priority = refusal.priority, occupancy = refusal.occupancy,
+        share = refusal.share, age_ms = refusal.age.0; "flow refused");
+}
+
 fn log_rejection(segment: &Segment, code: Code, event: &str) {
     log::info!(target: "flow", flow = flow_id(segment).as_str(),
         code = code.to_string().as_str(), reason = code.text(), stage = format!("{:?}", segment.stage).as_str(),
--- a/burdocklever/src/gateway_settings.rs
+++ b/burdocklever/src/gateway_settings.rs
@@ -10,6 +10,7 @@
 use crate::ini_file::{IniFile, KeyRule, Result};
 use crate::link_rate::LinkRate;
 use crate::load_table::{LoadBudget, LoadShare};
+use crate::shortage::{Floor, RefuseMode, ShortageSettings};
 use crate::time::Ms;
 
 /// Settings of a gateway.
@@ -51,6 +52,8 @@
     pub load_share: LoadShare,
     /// Bytes per second that the VM may send of it, from `[load] budget`.
     pub load_budget: LoadBudget,
+    /// Refusing for lack of room, from `[shortage]`.
+    pub shortage: ShortageSettings,
     /// Least severe level that is logged.
     pub level: LevelFilter,
 }
@@ -81,6 +84,8 @@
     KeyRule::new("limits", "stop", false),
     KeyRule::new("load", "share", false),
     KeyRule::new("load", "budget", false),
+    KeyRule::new("shortage", "refuse", false),
+    KeyRule::new("shortage", "floor", false),
     KeyRule::new("log", "level", false),
 ];
 
@@ -138,6 +143,8 @@
     if load_share == Some(LoadShare::On) && peer.is_none() {
         ini.report("load", "share", "`on` needs `[listen] peer`");
     }
+    let refuse: Option<RefuseMode> = ini.value("shortage", "refuse", "auto, on or off");
+    let floor: Option<Floor> = ini.value("shortage", "floor", "a percentage from 1 to 50");
     let level = ini.value("log", "level", "off, error, warn, info, debug or trace");
     if ready.is_some() && ready == metrics {
         ini.report("listen", "metrics", "same address as `ready`");
@@ -162,6 +169,10 @@
         stop_timeout: stop_timeout.unwrap_or(STOP_DEFAULT),
         load_share: load_share.unwrap_or_default(),
         load_budget: load_budget.unwrap_or_default(),
+        shortage: ShortageSettings {
+            refuse: refuse.unwrap_or_default(),
+            floor: floor.unwrap_or_default(),
+        },
         level: level.unwrap_or(LevelFilter::Info),
     })
 }
--- a/burdocklever/src/metrics.rs
+++ b/burdocklever/src/metrics.rs
@@ -9,6 +9,7 @@
 
 use crate::driver::Driver;
 use crate::node::Node;
+use crate::refusal::ServiceRoom;
 use crate::time::Ms;
 
 /// Histogram buckets of response times, in seconds. They cover the response-time
@@ -20,6 +21,10 @@
 pub(crate) struct Sample {
     pub(crate) counters: Vec<(&'static str, u64)>,
     pub(crate) gauges: Vec<(&'static str, u64)>,
+    /// Flows refused for lack of room, by priority.
+    pub(crate) refused: Vec<(u32, u64)>,
+    /// Room of the services.
+    pub(crate) rooms: Vec<ServiceRoom>,
 }
 
 /// Metric instruments of an entry VM.
@@ -55,6 +60,10 @@
                 for (kind, value) in &sample.counters {
                     observer.observe(*value, &[KeyValue::new("kind", *kind)]);
                 }
+                for (priority, flows) in &sample.refused {
+                    let priority = KeyValue::new("priority", i64::from(*priority));
+                    observer.observe(*flows, &[KeyValue::new("kind", "flows_refused"), priority]);
+                }
             })
             .build();
         let shared = sample.clone();
@@ -66,6 +75,14 @@
                 for (kind, value) in &sample.gauges {
                     observer.observe(*value, &[KeyValue::new("kind", *kind)]);
                 }
+                for room in &sample.rooms {
+                    let Some(occupancy) = room.occupancy else {
+                        continue;
+                    };
+                    let service = KeyValue::new("service", room.service.to_string());
+                    let labels = [KeyValue::new("kind", "occupancy_percent"), service];
+                    observer.observe(u64::from(occupancy), &labels);
+                }
             })
             .build();
         let response_times = meter
@@ -127,5 +144,6 @@
             ("ready", u64::from(node.is_ready())),
             ("lease", u64::from(node.holds_lease())),
         ],
+        ..Sample::default()
     }
 }
--- a/burdocklever/src/routing_table.rs
+++ b/burdocklever/src/routing_table.rs
@@ -70,6 +70,8 @@
     pub(crate) all_services: Vec<usize>,
     /// Response-time goal.
     pub(crate) goal: Ms,
+    /// Priority under overload; 0 is refused last.
+    pub(crate) priority: u32,
     /// Whether its requests must not be repeated.
     pub(crate) non_idempotent: bool,
     /// Whether it was removed from the catalogue. Packets to its address are
@@ -77,6 +79,16 @@
     pub(crate) removed: bool,
 }
 
+impl Route {
+    /// Its services with their IDs for weighted rendezvous hashing.
+    pub(crate) fn weighted(&self) -> Vec<(usize, u64, u32)> {
+        let shares = self.shares.iter();
+        shares
+            .map(|(service, weight)| (*service, *service as u64, *weight))
+            .collect()
+    }
+}
+
 /// Index of the catalogue objects that packets are forwarded by. Objects refer
 /// to each other by their position in the vectors.
 #[derive(Debug)]
@@ -154,6 +166,7 @@
             shares,
             all_services,
             goal: Ms(route.goal_ms),
+            priority: route.priority,
             non_idempotent: route.non_idempotent,
             removed: false,
         };
