Keep a leaving target out until its entry in the store's copy lapses

VMs hold the copy's entry back for 3 s, in which a target that still runs would write again that it leaves. This one is gone: nothing is written, and its entry in the copy lapses only after 4 s and more. So 60 VMs took the target for live from 61.3 s to 67 s.

Ruled out: a peer that is behind. Store readers and their peers take version 9.570 alike, when the hold ends.

Change: no target returns from leaving, so the copy's entry of one that was leaving is held back for 15 s, as that of one that had left already is; it ends sooner when the target writes again or its entry lapses. A target that was live, or that the copy lacks, is still held for 3 s.

--- a/burdocklever/src/era.rs
+++ b/burdocklever/src/era.rs
@@ -51,8 +51,11 @@
         Some(Feed::Routes) if facts.config >= known.change => CopyDecision::Apply,
         Some(Feed::Domains) => decide_domain(known, copy, facts),
         Some(Feed::Hosts) if is_later_host(&known.body, body) => CopyDecision::Apply,
-        // An entry that comes back without its target lapses only after some seconds.
-        Some(Feed::Hosts) if known.body != Body::Removed => CopyDecision::Hold(HOST_HOLD),
+        // An entry that comes back without its target lapses only after some seconds, and
+        // a target that leaves may be gone for good.
+        Some(Feed::Hosts) if copy.is_none() || is_live(&known.body) => {
+            CopyDecision::Hold(HOST_HOLD)
+        }
         _ => CopyDecision::Hold(OPERATOR_HOLD),
     }
 }
@@ -68,6 +71,10 @@
     }
 }
 
+fn is_live(body: &Body) -> bool {
+    matches!(body, Body::Host(host) if host.state == Lifecycle::Live)
+}
+
 /// Whether a target's entry follows from a known one: it has started again, or it
 /// leaves. No target returns from leaving.
 fn is_later_host(known: &Body, copy: &Body) -> bool {
