--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -25,9 +25,7 @@
     assert!(events > 20_000, "only {events} events");
 }
 
-/// Listed in KNOWN-RED.txt: fails in some runs.
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 20"]
 fn no_vm_goes_back_when_the_store_returns_from_a_copy() {
     let (mut events, mut eras) = (0, 0);
     for seed in 0..4 {
