Take over a removal that a peer holds back after the store's return

VMs that learned of the copy before hold back its entry, which has the target as live. Peers that listed the store later hold back the removal instead and tell it with their revision. A VM that already held back the entry ignored it, but took over the revision: the removal never reached it. Two VMs were reported late, and at 72.8 s one took the target for live as the hold ended.

Ruled out: removals deferred by the grace period (peers are told a revision below those). Tried: taking over whatever is newer.

Change: what a peer holds back replaces what this VM holds back if it is newer and says something else. A unit test failed before.

--- a/burdocklever/src/replica/copy.rs
+++ b/burdocklever/src/replica/copy.rs
@@ -166,8 +166,14 @@
                 until: now + time,
                 needs_confirmation: true,
             };
+            // The peer may have read the store later than this VM, and its revision then
+            // counts as known here too. What says the same does not wait any longer.
             let deferred = &mut self.feeds[feed as usize].deferred;
-            deferred.entry(object.key).or_insert(waiting);
+            let stays =
+                |d: &Deferred| d.object.body == object.body || d.object.version >= object.version;
+            if !deferred.get(&object.key).is_some_and(stays) {
+                deferred.insert(object.key, waiting);
+            }
         }
     }
 }
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -349,6 +349,27 @@
     assert_eq!(replica.catalogue().all_hosts().count(), 0);
 }
 
+/// The target left after the return, and the peer listed the store only then: the removal
+/// must not be lost for good.
+#[test]
+fn a_removal_that_a_peer_holds_back_replaces_the_entry_of_the_copy() {
+    let known = host(old(50), 1, Lifecycle::Leaving);
+    let (mut replica, mut peer) = (Replica::default(), Replica::default());
+    for one in [&mut replica, &mut peer] {
+        one.apply_list(NOW, Feed::Hosts, vec![known.clone()], old(60));
+    }
+    let copy = host(new(43), 1, Lifecycle::Live);
+    replica.raise_history_floor(Feed::Hosts, new(55));
+    replica.apply_list(NOW, Feed::Hosts, vec![copy], new(55));
+    peer.raise_history_floor(Feed::Hosts, new(70));
+    peer.apply_list(NOW, Feed::Hosts, vec![], new(70));
+    replica.apply_update(NOW, peer.update_since(NOW, &replica.revisions()));
+    let end = NOW + Ms(16_000);
+    replica.confirm(end, Feed::Hosts, new(71));
+    replica.apply_due_changes(end, Feed::Hosts);
+    assert_eq!(replica.catalogue().all_hosts().count(), 0);
+}
+
 /// A peer that is behind still holds a target back that has left meanwhile.
 #[test]
 fn what_a_peer_behind_holds_back_is_not_taken_over() {
