--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -241,12 +241,13 @@
             cold_rate: 5,
         };
         store.put(ObjectKey::new("pool", "ledger"), Body::Pool(pool), 0);
+        let mut first = Vec::new();
         for n in 0..plan.routes {
-            store.put(ObjectKey::new("route", n), route(n, 150), 0);
+            first.push(store.put(ObjectKey::new("route", n), route(n, 150), 0));
         }
         for id in 1..=plan.targets {
             let body = host(&plan, id, Lifecycle::Live);
-            store.put(ObjectKey::new("host", id), body, 0);
+            first.push(store.put(ObjectKey::new("host", id), body, 0));
         }
         let count = plan.vms as usize;
         let world = World {
@@ -275,11 +276,14 @@
             first: true,
             retired: 0,
             config: 0,
-            next_position: 0,
+            next_position: 1,
             copy: None,
             restored: None,
             rewrites: Vec::new(),
         };
+        for object in first {
+            fleet.record(object, 0);
+        }
         fleet.start_all().await;
         fleet.first = false;
         fleet
