Do not take a new write for a lost one of the same revision in the storms' oracle

The VMs knew the domain as removed (5.901) and still did.

Change: a write of an era before counts as told again only if each copy since contains it.

--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -121,11 +121,22 @@
     pub(crate) fn position(&self, object: &Object) -> Option<usize> {
         let history = lock(&self.history);
         let told = object.version;
+        let copies = lock(&self.store).copies.clone();
+        // Only what a copy contains is told again; numbers above it are given out anew.
+        let in_copies = |o: &Object| {
+            let (first, last) = (usize::from(o.version.era()), usize::from(told.era()));
+            copies[first..last]
+                .iter()
+                .all(|end| o.version.revision() <= *end)
+        };
         let writes = history.get(&object.key)?.iter();
         let same = writes.filter(|(o, _)| {
             let revision = o.version.revision();
             // A VM's own removal may have the revision of another write by chance.
-            revision == told.revision() && o.version <= told && o.body == object.body
+            revision == told.revision()
+                && o.version <= told
+                && o.body == object.body
+                && in_copies(o)
         });
         same.max_by_key(|(o, _)| o.version)
             .map(|(_, position)| *position)
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -36,6 +36,8 @@
     pub(crate) content: Content,
     /// Number of times that the content went back to a copy.
     pub(crate) era: u16,
+    /// Last revision of each copy that the content went back to.
+    pub(crate) copies: Vec<u64>,
     /// Wakes watches of a feed, in the order in which they began.
     wake: [Arc<Notify>; Feed::COUNT],
     /// Calls a second.
@@ -54,6 +56,7 @@
         Store {
             content: Content::default(),
             era: 0,
+            copies: Vec::new(),
             wake: Default::default(),
             rate,
             calls_left: rate,
@@ -90,6 +93,7 @@
 
     /// Goes back to an older copy of the content.
     pub(crate) fn restore(&mut self, copy: Content) {
+        self.copies.push(copy.revision);
         self.content = copy;
         self.era += 1;
         for wake in &self.wake {
