Apply at once what was written after a VM had read the returned store

Its peer met that write only with its first list of the new era, could not tell it from the copy, and held it back for 3 s. The VM took over the hold, and knew the change more than 5 s late.

Change: an object above the revision that this VM knows of the same era was written after the return, so it applies although a peer holds it back. Removals are not, since a list gives them its own revision. A unit test failed before.

--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -480,7 +480,7 @@
             // A peer behind this replica may hold what has been removed meanwhile.
             let feed = Feed::of(&object.key).map(|f| f as usize);
             if feed.is_some_and(|i| update.revisions[i] >= self.feeds[i].revision) {
-                self.defer(now, object);
+                changed.extend(self.defer(now, object));
             }
         }
         for feed in Feed::ALL {
--- a/burdocklever/src/replica/copy.rs
+++ b/burdocklever/src/replica/copy.rs
@@ -146,15 +146,17 @@
     }
 
     /// Holds back what a peer holds back of a copy of the store, for as long as this
-    /// VM would.
-    pub(super) fn defer(&mut self, now: Time, object: Object) {
-        let Some(feed) = Feed::of(&object.key) else {
-            return;
-        };
+    /// VM would. Returns an object that applies at once, since it is above what this VM
+    /// knows of the same era: it was written after the store's return.
+    pub(super) fn defer(&mut self, now: Time, object: Object) -> Option<Object> {
+        let feed = Feed::of(&object.key)?;
         let known = self.catalogue.entry(&object.key);
-        let Some(known) = known.filter(|k| k.version < object.version) else {
-            return;
-        };
+        let known = known.filter(|k| k.version < object.version)?;
+        let revision = self.feeds[feed as usize].revision;
+        let same_era = object.version.era() == revision.era();
+        if same_era && object.version > revision && object.body != Body::Removed {
+            return self.merge(object);
+        }
         let listed = Some(&object).filter(|o| o.body != Body::Removed);
         let facts = CopyFacts {
             config: object.change,
@@ -175,5 +177,6 @@
                 deferred.insert(object.key, waiting);
             }
         }
+        None
     }
 }
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -370,6 +370,27 @@
     assert_eq!(replica.catalogue().all_hosts().count(), 0);
 }
 
+/// The peer read the store only after the write, so it cannot tell it from the copy. This
+/// VM can: it had read the store since the return, and must not be late.
+#[test]
+fn what_was_written_after_this_vm_read_the_store_is_not_held_back_with_a_peer() {
+    let (mut replica, mut peer) = (Replica::default(), Replica::default());
+    for one in [&mut replica, &mut peer] {
+        let known = domain(old(50));
+        one.apply_list(NOW, Feed::Domains, vec![known.clone()], old(55));
+        let lifted = vec![gone(known, old(60))];
+        one.apply_changes(NOW, Feed::Domains, lifted, old(60));
+    }
+    replica.raise_history_floor(Feed::Domains, new(55));
+    replica.apply_list(NOW, Feed::Domains, vec![], new(55));
+    peer.raise_history_floor(Feed::Domains, new(59));
+    let written = domain(new(58));
+    peer.apply_list(NOW, Feed::Domains, vec![written.clone()], new(59));
+    assert_eq!(peer.deferred_changes(), 1);
+    let update = peer.update_since(NOW, &replica.revisions());
+    assert_eq!(replica.apply_update(NOW, update), [written]);
+}
+
 /// A peer that is behind still holds a target back that has left meanwhile.
 #[test]
 fn what_a_peer_behind_holds_back_is_not_taken_over() {
