--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -111,7 +111,26 @@
 fn a_target_that_began_to_leave_in_the_lost_seconds_gets_no_flows_again() {
     let known = host(old(50), 1, Lifecycle::Leaving);
     let copy = host(new(40), 1, Lifecycle::Live);
-    assert_eq!(decide(&known, Some(&copy), config(0)), HOST_HOLD);
+    assert_eq!(decide(&known, Some(&copy), config(0)), OPERATOR_HOLD);
+}
+
+/// It left for good before the store returned, so it writes nothing again, and its entry
+/// in the copy lapses some seconds later.
+#[test]
+fn a_target_that_was_leaving_does_not_return_until_its_entry_lapses() {
+    let mut replica = Replica::default();
+    let known = host(old(50), 1, Lifecycle::Leaving);
+    replica.apply_list(NOW, Feed::Hosts, vec![known], old(50));
+    replica.raise_history_floor(Feed::Hosts, new(45));
+    let copy = host(new(40), 1, Lifecycle::Live);
+    replica.apply_list(NOW, Feed::Hosts, vec![copy.clone()], new(45));
+    let later = NOW + Ms(5500);
+    replica.confirm(later, Feed::Hosts, new(46));
+    assert_eq!(replica.apply_due_changes(later, Feed::Hosts), []);
+    let lapsed = vec![gone(copy, new(47))];
+    let changed = replica.apply_changes(later, Feed::Hosts, lapsed, new(47));
+    assert_eq!(changed.len(), 1);
+    assert_eq!(replica.deferred_changes(), 0);
 }
 
 #[test]
@@ -330,6 +349,48 @@
     assert_eq!(replica.catalogue().all_hosts().count(), 0);
 }
 
+/// The target left after the return, and the peer listed the store only then: the removal
+/// must not be lost for good.
+#[test]
+fn a_removal_that_a_peer_holds_back_replaces_the_entry_of_the_copy() {
+    let known = host(old(50), 1, Lifecycle::Leaving);
+    let (mut replica, mut peer) = (Replica::default(), Replica::default());
+    for one in [&mut replica, &mut peer] {
+        one.apply_list(NOW, Feed::Hosts, vec![known.clone()], old(60));
+    }
+    let copy = host(new(43), 1, Lifecycle::Live);
+    replica.raise_history_floor(Feed::Hosts, new(55));
+    replica.apply_list(NOW, Feed::Hosts, vec![copy], new(55));
+    peer.raise_history_floor(Feed::Hosts, new(70));
+    peer.apply_list(NOW, Feed::Hosts, vec![], new(70));
+    replica.apply_update(NOW, peer.update_since(NOW, &replica.revisions()));
+    let end = NOW + Ms(16_000);
+    replica.confirm(end, Feed::Hosts, new(71));
+    replica.apply_due_changes(end, Feed::Hosts);
+    assert_eq!(replica.catalogue().all_hosts().count(), 0);
+}
+
+/// The peer read the store only after the write, so it cannot tell it from the copy. This
+/// VM can: it had read the store since the return, and must not be late.
+#[test]
+fn what_was_written_after_this_vm_read_the_store_is_not_held_back_with_a_peer() {
+    let (mut replica, mut peer) = (Replica::default(), Replica::default());
+    for one in [&mut replica, &mut peer] {
+        let known = domain(old(50));
+        one.apply_list(NOW, Feed::Domains, vec![known.clone()], old(55));
+        let lifted = vec![gone(known, old(60))];
+        one.apply_changes(NOW, Feed::Domains, lifted, old(60));
+    }
+    replica.raise_history_floor(Feed::Domains, new(55));
+    replica.apply_list(NOW, Feed::Domains, vec![], new(55));
+    peer.raise_history_floor(Feed::Domains, new(59));
+    let written = domain(new(58));
+    peer.apply_list(NOW, Feed::Domains, vec![written.clone()], new(59));
+    assert_eq!(peer.deferred_changes(), 1);
+    let update = peer.update_since(NOW, &replica.revisions());
+    assert_eq!(replica.apply_update(NOW, update), [written]);
+}
+
 /// A peer that is behind still holds a target back that has left meanwhile.
 #[test]
 fn what_a_peer_behind_holds_back_is_not_taken_over() {
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -13,6 +13,7 @@
     Address, Body, DomainId, DomainState, Host, HostId, Incarnation, Lifecycle, Member, Object,
     ObjectKey, Pool, Route, Share, Version, VmId,
 };
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::network::environment;
 use crate::store::{Content, Store};
@@ -108,6 +109,8 @@
     /// Position that each VM has reached.
     pub(crate) reached: Mutex<Vec<HashMap<ObjectKey, usize>>>,
     pub(crate) events: Mutex<u64>,
+    /// Of all that VMs reported: the same in each run of a seed.
+    pub(crate) digest: Mutex<Xxh3>,
     pub(crate) broken: Mutex<Vec<String>>,
     pub(crate) flaw: Flaw,
 }
@@ -118,11 +121,22 @@
     pub(crate) fn position(&self, object: &Object) -> Option<usize> {
         let history = lock(&self.history);
         let told = object.version;
+        let copies = lock(&self.store).copies.clone();
+        // Only what a copy contains is told again; numbers above it are given out anew.
+        let in_copies = |o: &Object| {
+            let (first, last) = (usize::from(o.version.era()), usize::from(told.era()));
+            copies[first..last]
+                .iter()
+                .all(|end| o.version.revision() <= *end)
+        };
         let writes = history.get(&object.key)?.iter();
         let same = writes.filter(|(o, _)| {
             let revision = o.version.revision();
             // A VM's own removal may have the revision of another write by chance.
-            revision == told.revision() && o.version <= told && o.body == object.body
+            revision == told.revision()
+                && o.version <= told
+                && o.body == object.body
+                && in_copies(o)
         });
         same.max_by_key(|(o, _)| o.version)
             .map(|(_, position)| *position)
@@ -238,12 +252,13 @@
             cold_rate: 5,
         };
         store.put(ObjectKey::new("pool", "ledger"), Body::Pool(pool), 0);
+        let mut first = Vec::new();
         for n in 0..plan.routes {
-            store.put(ObjectKey::new("route", n), route(n, 150), 0);
+            first.push(store.put(ObjectKey::new("route", n), route(n, 150), 0));
         }
         for id in 1..=plan.targets {
             let body = host(&plan, id, Lifecycle::Live);
-            store.put(ObjectKey::new("host", id), body, 0);
+            first.push(store.put(ObjectKey::new("host", id), body, 0));
         }
         let count = plan.vms as usize;
         let world = World {
@@ -256,6 +271,7 @@
             history: Mutex::default(),
             reached: Mutex::new(vec![HashMap::new(); count]),
             events: Mutex::new(0),
+            digest: Mutex::default(),
             broken: Mutex::default(),
             flaw,
         };
@@ -271,11 +287,14 @@
             first: true,
             retired: 0,
             config: 0,
-            next_position: 0,
+            next_position: 1,
             copy: None,
             restored: None,
             rewrites: Vec::new(),
         };
+        for object in first {
+            fleet.record(object, 0);
+        }
         fleet.start_all().await;
         fleet.first = false;
         fleet
@@ -408,10 +427,7 @@
 
     fn write(&mut self, key: ObjectKey, body: Body, config: u64, position: usize) {
         let object = lock(&self.world.store).put(key, body, config);
-        let mut history = lock(&self.world.history);
-        let writes = history.entry(object.key.clone()).or_default();
-        writes.push((object.clone(), position));
-        drop(history);
+        self.record(object.clone(), position);
         self.pending.push(self.changes.len());
         self.changes.push(Change {
             at: Instant::now(),
@@ -419,6 +435,13 @@
         });
     }
 
+    /// Notes the position of an object of the store among all writes.
+    fn record(&self, object: Object, position: usize) {
+        let mut history = lock(&self.world.history);
+        let writes = history.entry(object.key.clone()).or_default();
+        writes.push((object, position));
+    }
+
     /// Keeps a copy of the store's content.
     pub fn copy_store(&mut self) {
         let content = lock(&self.world.store).content.clone();
@@ -465,10 +488,14 @@
             rewrites.into_iter().partition(|(at, o)| is_due(*at, o));
         self.rewrites = rest;
         for (_, object) in due {
-            let known = lock(&self.world.store).body(&object.key);
-            if known != object.body {
-                let position = self.world.position(&object).unwrap_or(0);
+            let position = self.world.position(&object).unwrap_or(0);
+            let known = lock(&self.world.store).object(&object.key);
+            let body = known.as_ref().map_or(&Body::Removed, |o| &o.body);
+            if *body != object.body {
                 self.write(object.key, object.body, object.change, position);
+            } else if let Some(known) = known {
+                // The copy says the same already, and so stands for the lost write.
+                self.record(known, position);
             }
         }
     }
@@ -597,6 +624,11 @@
         *lock(&self.world.events)
     }
 
+    /// Digest of the events of all VMs so far, with their times and order.
+    pub fn digest(&self) -> u64 {
+        lock(&self.world.digest).digest()
+    }
+
     /// Broken promises so far.
     pub fn broken(&self) -> Vec<String> {
         lock(&self.world.broken).clone()
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -1,10 +1,11 @@
 //! The platform's store: objects by feed, watches, a rate, outages.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use burdocklever::{Code, Consistency, ContactList, Feed, Ms, Page, PlatformError, ReadRequest};
-use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant};
 use wire::{Body, DomainId, Object, ObjectKey, Version};
 
@@ -35,8 +36,10 @@
     pub(crate) content: Content,
     /// Number of times that the content went back to a copy.
     pub(crate) era: u16,
-    /// Wakes watches of a feed.
-    wake: [watch::Sender<u64>; Feed::COUNT],
+    /// Last revision of each copy that the content went back to.
+    pub(crate) copies: Vec<u64>,
+    /// Wakes watches of a feed, in the order in which they began.
+    wake: [Arc<Notify>; Feed::COUNT],
     /// Calls a second.
     rate: f64,
     calls_left: f64,
@@ -53,7 +56,8 @@
         Store {
             content: Content::default(),
             era: 0,
-            wake: std::array::from_fn(|_| watch::Sender::new(0)),
+            copies: Vec::new(),
+            wake: Default::default(),
             rate,
             calls_left: rate,
             filled: Instant::now(),
@@ -83,23 +87,23 @@
             _ => content.objects.insert(key, object.clone()),
         };
         content.changes[feed].push(object.clone());
-        self.wake[feed].send_modify(|n| *n += 1);
+        self.wake[feed].notify_waiters();
         object
     }
 
     /// Goes back to an older copy of the content.
     pub(crate) fn restore(&mut self, copy: Content) {
+        self.copies.push(copy.revision);
         self.content = copy;
         self.era += 1;
         for wake in &self.wake {
-            wake.send_modify(|n| *n += 1);
+            wake.notify_waiters();
         }
     }
 
-    /// What the store holds of an object.
-    pub(crate) fn body(&self, key: &ObjectKey) -> Body {
-        let known = self.content.objects.get(key);
-        known.map_or(Body::Removed, |o| o.body.clone())
+    /// An object as it is returned, unless it was removed.
+    pub(crate) fn object(&self, key: &ObjectKey) -> Option<Object> {
+        self.content.objects.get(key).map(|o| self.told(o))
     }
 
     /// An object as it is returned: its version is told in the current era.
@@ -212,16 +216,14 @@
         let page = match ask {
             ReadRequest::List(after, _) => lock().list(feed, after.as_deref()),
             ReadRequest::Watch(from, wait) => {
-                let mut woken = lock().wake[feed as usize].subscribe();
+                let wake = lock().wake[feed as usize].clone();
                 let until = Instant::now() + Duration::from_millis(wait.0);
                 loop {
+                    let woken = wake.notified();
                     if let Some(page) = lock().changes(feed, from)? {
                         break page;
                     }
-                    if tokio::time::timeout_at(until, woken.changed())
-                        .await
-                        .is_err()
-                    {
+                    if tokio::time::timeout_at(until, woken).await.is_err() {
                         let revision = lock().revision();
                         break Page {
                             revision,
