Limit new flows to targets that start or recover until they carry their share

Cause: a target whose cold time is over has no flows, so each of 23 VMs selects it for all of its next ones.

Ruled out: credit for one flow at each VM at the begin, or credit that VMs save, lets all VMs spend it in one second (both break a test).

Change: `pace` decides, `pace_control` feeds it from the packet path and, if present, from shared load. VMs take turns for credit by their position in the failure domain, which the control plane now reports. Credit lapses after 1 s. Beyond half of a service the rate is raised by the share of targets on a pace; paces of more than half of a domain's targets that respond again at once are ended, since the VM's link was congested. Setting `[pace] recover`, gauge `targets_paced`, histogram `burdocklever_pace`, log lines.

Tests forwarder, control_plane, settings, membership and freshness pass.

--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -14,7 +14,8 @@
 use crate::freshness::Bounds;
 use crate::load_report::{DomainKey, PackedLoad};
 use crate::load_table::{
-    LoadBudget, LoadShare, LoadStats, LoadTable, LoadTarget, Recipient, LOAD_INTERVAL,
+    shares_load, sharing_reason, LoadBudget, LoadStats, LoadTable, LoadTarget, Recipient,
+    LOAD_INTERVAL,
 };
 use crate::membership::{Condition, MemberNews, Membership, Peer};
 use crate::peer_selection::{position, Position};
@@ -22,6 +23,7 @@
 use crate::rendezvous;
 use crate::replica::{Replica, ReplicaUpdate};
 use crate::store::{CallFuture, Feed, Store};
+use crate::switch::Switch;
 use crate::target_load::{SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
 use crate::token::Token;
@@ -100,6 +102,8 @@
     Changed(&'a [Object], &'a Replica),
     /// Number of VMs in this VM's failure domain.
     DomainSize(usize),
+    /// Position of this VM among those of its failure domain, by ID and from zero.
+    DomainPosition(usize),
     /// A call to the store failed.
     StoreFailed(Feed),
 }
@@ -161,7 +165,7 @@
 #[derive(Debug)]
 struct LoadState {
     table: LoadTable,
-    share: LoadShare,
+    share: Switch,
     /// Whether load is shared now; none before that was first decided.
     on: Option<bool>,
     /// Whether there were shared figures last.
@@ -205,7 +209,7 @@
         let rate = own.link.bytes_per_s() / REPLY_LINK_DIVISOR;
         let load = LoadState {
             table: LoadTable::new(DomainKey::of(&own.domain), LoadBudget::default()),
-            share: LoadShare::Off,
+            share: Switch::Off,
             on: None,
             available: false,
             changes: 0,
@@ -428,9 +432,13 @@
         }
         let domain = members.own().domain.clone();
         let count = members.live_in(&domain).count();
+        let own = members.own().member.vm;
+        let before = members.live_in(&domain).filter(|p| p.member.vm < own);
+        let position = before.count();
         drop(members);
         self.peer_learned.notify_one();
         (self.on_event)(ControlEvent::DomainSize(count));
+        (self.on_event)(ControlEvent::DomainPosition(position));
     }
 
     /// Applies a peer's reply. Returns whether it had a catalogue.
@@ -472,7 +480,7 @@
     }
 
     /// Sets whether load is shared, and the bytes per second that this VM may send of it.
-    pub fn set_load_sharing(&self, share: LoadShare, budget: LoadBudget) {
+    pub fn set_load_sharing(&self, share: Switch, budget: LoadBudget) {
         let mut load = lock(&self.load);
         load.share = share;
         load.table.set_budget(budget);
@@ -488,9 +496,9 @@
         };
         let changes = self.progress.borrow().changes;
         let mut load = lock(&self.load);
-        let on = load.share.applies(vms);
+        let on = shares_load(load.share, vms);
         if load.on.replace(on) != Some(on) {
-            log::info!(target: "load", shared = on, reason = load.share.reason(vms).as_str();
+            log::info!(target: "load", shared = on, reason = sharing_reason(load.share, vms).as_str();
                 "sharing of load decided");
         }
         if !on {
--- a/burdocklever/src/forwarder.rs
+++ b/burdocklever/src/forwarder.rs
@@ -15,8 +15,9 @@
     indicates_failure, is_unanswered, process_ack, process_data, release_counts, reset_segment,
     track_existing, FlowState, MAX_TRIED, NO_TARGET,
 };
-use crate::load_table::LoadShare;
+use crate::load_table::shares_load;
 use crate::msg::FlowKey;
+use crate::pace_control::{self, Observation, PaceControl, PaceEvent, PaceStatus};
 use crate::placement::{self, Candidate};
 use crate::reachability;
 use crate::refusal::{Refusal, Refusals, ServiceRoom};
@@ -25,6 +26,7 @@
 use crate::segment::{Segment, Stage, Verdict};
 use crate::shared_placement::{self, Placed, SharedFigures};
 use crate::shortage::ShortageSettings;
+use crate::switch::Switch;
 use crate::target_load::{SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
 use crate::token::Token;
@@ -140,7 +142,7 @@
     config: ForwarderConfig,
     /// Number of VMs in this failure domain, this one included.
     domain_size: u32,
-    load_share: LoadShare,
+    load_share: Switch,
     now: Time,
     /// Last time that the routes were confirmed to be up to date.
     routes_confirmed: Option<Time>,
@@ -149,6 +151,7 @@
     /// Last time that the receive queue was empty.
     queue_empty: Time,
     table: RoutingTable,
+    paces: PaceControl,
     flows: FxHashMap<FlowKey, FlowState>,
     /// Last packet of a flow up to which unanswered opening packets are counted.
     opens_counted: Time,
@@ -167,12 +170,13 @@
         Forwarder {
             config,
             domain_size: 1,
-            load_share: LoadShare::Off,
+            load_share: Switch::Off,
             now: Time(0),
             routes_confirmed: None,
             revision: Version(0),
             queue_empty: Time(0),
             table: RoutingTable::new(local_domain),
+            paces: PaceControl::default(),
             flows: FxHashMap::default(),
             opens_counted: Time(0),
             refusals: Refusals::default(),
@@ -221,22 +225,53 @@
     /// Sets the number of VMs in this failure domain, this one included.
     pub fn set_domain_size(&mut self, vms: u32) {
         self.domain_size = vms;
+        self.paces.set_domain_size(vms, self.shares_load());
+    }
+
+    /// Sets the position of this VM among those of its failure domain, by ID and from
+    /// zero.
+    pub fn set_domain_position(&mut self, position: u32) {
+        self.paces.set_position(position);
+    }
+
+    /// Sets whether targets that start or recover are put on a pace.
+    pub fn set_pace(&mut self, setting: Switch) {
+        self.paces.set_setting(setting);
+    }
+
+    /// Whether targets are put on a pace, and why not.
+    pub fn pace_status(&self) -> PaceStatus {
+        self.paces.status(&self.table)
+    }
+
+    /// Number of targets on a pace.
+    pub fn paced_targets(&self) -> usize {
+        self.paces.paced()
+    }
+
+    /// Takes the steps of paces since the last call, and the number of those that were
+    /// not kept.
+    pub fn take_pace_events(&mut self) -> (Vec<PaceEvent>, u64) {
+        self.paces.take_events()
     }
 
     /// Sets whether VMs share the load of targets. If so, flows go to the next service of
     /// their route only by shared figures, and are refused at once if no target can be
     /// reached; otherwise they go to targets that may not get them.
-    pub fn set_load_share(&mut self, share: LoadShare) {
+    pub fn set_load_share(&mut self, share: Switch) {
         self.load_share = share;
+        self.paces
+            .set_domain_size(self.domain_size, self.shares_load());
     }
 
     fn shares_load(&self) -> bool {
-        self.load_share.applies(self.domain_size as usize)
+        shares_load(self.load_share, self.domain_size as usize)
     }
 
     /// Sets the revision up to which the target list is known.
     pub fn set_revision(&mut self, revision: Version) {
         self.revision = revision;
+        self.table.hosts_known |= revision > Version(0);
     }
 
     /// Records that the known routes were up to date at `time`.
@@ -274,6 +309,7 @@
     pub fn set_shared_load(&mut self, now: Time, load: SharedLoad) {
         self.now = self.now.max(now);
         self.refusals.update(self.now, &self.table, &load);
+        self.paces.set_shared_load(load.clone());
         let made = self.now.min(load.at);
         let targets = &mut self.table.targets;
         for service in &mut self.table.services {
@@ -422,7 +458,14 @@
             let target = &mut self.table.targets[flow.target];
             target.health.record_retransmission(self.now);
             record_silence(self.now, flow.last_packet, target);
+            let seen = Observation {
+                unanswered: true,
+                ..Observation::default()
+            };
+            self.paces
+                .observe(self.now, &mut self.table, flow.target, seen);
         }
+        self.paces.update(self.now, &mut self.table);
         let unreachable = self.unreachable_domains();
         let placed = self.select_target(segment, key, &tried, &unreachable);
         let Some(Placed { choice, age, .. }) = placed else {
@@ -449,6 +492,9 @@
         let target = &mut self.table.targets[choice.target];
         target.health.record_open(self.now);
         target.own.record_open(self.now);
+        if let Some(pace) = &mut target.pace {
+            pace.take(self.now);
+        }
         self.open_decision = Some(OpenDecision {
             host: target.host,
             load: choice.load,
@@ -571,14 +617,20 @@
             available.then(|| Candidate {
                 target: *i,
                 local: self.table.domains[target.domain].local,
-                suspect: suspect || tried.contains(i),
+                suspect: suspect
+                    || tried.contains(i)
+                    || pace_control::is_held_back(target, self.now),
                 load: placement::load(health.open_flows, health.pending, target.slots),
                 response_time: health.mean_response_time(),
                 busy: placement::is_busy(health.pending, self.domain_size, target.slots),
                 tie_breaker: rendezvous::score(key.0, target.host.0),
             })
         };
-        service.targets.iter().filter_map(candidate).collect()
+        let mut candidates: Vec<Candidate> = service.targets.iter().filter_map(candidate).collect();
+        pace_control::admit_one(&mut candidates, &self.table, self.now, |i| {
+            !tried.contains(&i) && !self.table.targets[i].health.is_suspect(self.now)
+        });
+        candidates
     }
 
     /// Decides on a later packet, by its token.
@@ -629,6 +681,7 @@
         };
         let target = &mut self.table.targets[index];
         flow.last_packet = now;
+        let was_down = pace_control::appears_down(&target.health, now);
         self.response_time = process_ack(now, segment, flow, &mut target.health);
         // Flows of an earlier incarnation say nothing about the load of this one.
         let current = target.token == segment.token;
@@ -661,6 +714,15 @@
         if retransmission || (segment.len > 0 && doubtful) {
             self.check_liveness(key, index);
         }
+        // Answers of an earlier incarnation carry its token.
+        if segment.token == self.table.targets[index].token {
+            let seen = Observation {
+                was_down,
+                response_time: self.response_time,
+                unanswered: retransmission,
+            };
+            self.paces.observe(now, &mut self.table, index, seen);
+        }
     }
 
     /// Requests a check of a target that has not answered a flow's request, or
@@ -761,6 +823,7 @@
     pub fn sweep(&mut self, now: Time) {
         self.now = self.now.max(now);
         let now = self.now;
+        self.paces.update(now, &mut self.table);
         let targets = &mut self.table.targets;
         self.flows.retain(|_, flow| {
             let active = now.since(flow.last_packet) < FLOW_IDLE_TIMEOUT;
--- a/burdocklever/src/gateway_settings.rs
+++ b/burdocklever/src/gateway_settings.rs
@@ -9,8 +9,9 @@
 use crate::freshness::Bounds;
 use crate::ini_file::{IniFile, KeyRule, Result};
 use crate::link_rate::LinkRate;
-use crate::load_table::{LoadBudget, LoadShare};
-use crate::shortage::{Floor, RefuseMode, ShortageSettings};
+use crate::load_table::LoadBudget;
+use crate::shortage::{Floor, ShortageSettings};
+use crate::switch::Switch;
 use crate::time::Ms;
 
 /// Settings of a gateway.
@@ -49,11 +50,13 @@
     /// Time after which a VM that was told to stop is killed, from `[limits] stop`.
     pub stop_timeout: Ms,
     /// Whether VMs share the load of targets, from `[load] share`.
-    pub load_share: LoadShare,
+    pub load_share: Switch,
     /// Bytes per second that the VM may send of it, from `[load] budget`.
     pub load_budget: LoadBudget,
     /// Refusing for lack of room, from `[shortage]`.
     pub shortage: ShortageSettings,
+    /// Whether targets that start or recover are put on a pace, from `[pace] recover`.
+    pub recover: Switch,
     /// Least severe level that is logged.
     pub level: LevelFilter,
 }
@@ -86,6 +89,7 @@
     KeyRule::new("load", "budget", false),
     KeyRule::new("shortage", "refuse", false),
     KeyRule::new("shortage", "floor", false),
+    KeyRule::new("pace", "recover", false),
     KeyRule::new("log", "level", false),
 ];
 
@@ -141,11 +145,12 @@
         "budget",
         "a number of bytes per second from 512 to 65536",
     );
-    if load_share == Some(LoadShare::On) && peer.is_none() {
+    if load_share == Some(Switch::On) && peer.is_none() {
         ini.report("load", "share", "`on` needs `[listen] peer`");
     }
-    let refuse: Option<RefuseMode> = ini.value("shortage", "refuse", "auto, on or off");
+    let refuse: Option<Switch> = ini.value("shortage", "refuse", "auto, on or off");
     let floor: Option<Floor> = ini.value("shortage", "floor", "a percentage from 1 to 50");
+    let recover = ini.value("pace", "recover", "auto, on or off");
     let level = ini.value("log", "level", "off, error, warn, info, debug or trace");
     if ready.is_some() && ready == metrics {
         ini.report("listen", "metrics", "same address as `ready`");
@@ -174,6 +179,7 @@
             refuse: refuse.unwrap_or_default(),
             floor: floor.unwrap_or_default(),
         },
+        recover: recover.unwrap_or_default(),
         level: level.unwrap_or(LevelFilter::Info),
     })
 }
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -68,6 +68,8 @@
 mod msg;
 mod node;
 mod operator;
+mod pace;
+mod pace_control;
 mod peer;
 mod peer_selection;
 mod pin;
@@ -85,6 +87,7 @@
 mod shortage;
 mod status;
 mod store;
+mod switch;
 mod takeover;
 mod target_health;
 mod target_load;
@@ -125,12 +128,14 @@
     DomainKey, LoadPart, LoadReport, PackedLoad, TargetList, Unpacked, RATE_MAX,
 };
 pub use load_table::{
-    LoadBudget, LoadShare, LoadStats, LoadTable, LoadTarget, Recipient, LOAD_MAX_AGE,
+    shares_load, LoadBudget, LoadStats, LoadTable, LoadTarget, Recipient, LOAD_MAX_AGE,
 };
 pub use membership::{Condition, MemberNews, Membership, Peer};
 pub use msg::{Count, Envelope, FlowKey, FlowPin, Heartbeat, Load, Msg, PinBatch};
 pub use node::Node;
 pub use operator::{EntryDiff, Error as OperatorError, Operator};
+pub use pace::{relief, Pace, PaceCause};
+pub use pace_control::{PaceEvent, PaceStatus, PaceStep};
 pub use peer_selection::{position, reads_for_itself, start_probability, Position, Staleness};
 pub use pin::{PinInfo, Pins, FLOW_IDLE, PIN_REFRESH};
 pub use platform_client::{Error as PlatformError, PlatformClient};
@@ -139,9 +144,10 @@
 pub use replica::{Replica, ReplicaUpdate};
 pub use segment::{Segment, Stage, Verdict};
 pub use settings::Settings;
-pub use shortage::{CallerHistory, Floor, RefuseMode, Room, Shortage, ShortageSettings};
+pub use shortage::{CallerHistory, Floor, Room, Shortage, ShortageSettings};
 pub use status::Status;
 pub use store::{CallFuture, Consistency, Feed, Page, ReadRequest, Store};
+pub use switch::Switch;
 pub use target_load::{RequestRate, SharedLoad, TargetLoad};
 pub use time::{Clock, Ms, Time};
 pub use token::Token;
--- a/burdocklever/src/load_table.rs
+++ b/burdocklever/src/load_table.rs
@@ -15,6 +15,7 @@
 use crate::load_report::{
     clamp, entry_len, DomainKey, LoadPart, LoadReport, PackedLoad, TargetList,
 };
+use crate::switch::Switch;
 use crate::target_load::{RequestRate, SharedLoad, TargetLoad};
 use crate::time::{Ms, Time};
 use crate::token::Token;
@@ -48,66 +49,26 @@
 const LARGE_REFRESH: Ms = Ms(1000);
 const LARGE_CATALOGUE: usize = 2000;
 
-/// Whether VMs share the load of targets.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum LoadShare {
-    /// If the failure domain is large enough.
-    #[default]
-    Auto,
-    /// Always.
-    On,
-    /// Never.
-    Off,
-}
-
-impl LoadShare {
-    /// Whether load is shared in a failure domain of `vms` VMs.
-    pub fn applies(self, vms: usize) -> bool {
-        match self {
-            LoadShare::Auto => vms >= SHARE_MIN_VMS,
-            LoadShare::On => true,
-            LoadShare::Off => false,
-        }
-    }
-
-    /// Why load is or is not shared in a failure domain of `vms` VMs, for the log.
-    pub(crate) fn reason(self, vms: usize) -> String {
-        let limit = SHARE_MIN_VMS;
-        match self {
-            LoadShare::Auto if self.applies(vms) => {
-                format!("the failure domain has {vms} VMs; {limit} or more share load")
-            }
-            LoadShare::Auto => format!(
-                "the failure domain has {vms} VMs; with fewer than {limit} each sees enough itself"
-            ),
-            LoadShare::On | LoadShare::Off => format!("`[load] share` is `{self}`"),
-        }
+/// Whether load is shared in a failure domain of `vms` VMs.
+pub fn shares_load(share: Switch, vms: usize) -> bool {
+    match share {
+        Switch::Auto => vms >= SHARE_MIN_VMS,
+        Switch::On => true,
+        Switch::Off => false,
     }
 }
 
-impl fmt::Display for LoadShare {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            LoadShare::Auto => "auto",
-            LoadShare::On => "on",
-            LoadShare::Off => "off",
-        })
-    }
-}
-
-impl FromStr for LoadShare {
-    type Err = ParseError;
-
-    fn from_str(s: &str) -> Result<LoadShare, ParseError> {
-        match s {
-            "auto" => Ok(LoadShare::Auto),
-            "on" => Ok(LoadShare::On),
-            "off" => Ok(LoadShare::Off),
-            _ => Err(ParseError {
-                expected: "auto, on or off",
-                found: s.into(),
-            }),
+/// Why load is or is not shared in a failure domain of `vms` VMs, for the log.
+pub(crate) fn sharing_reason(share: Switch, vms: usize) -> String {
+    let limit = SHARE_MIN_VMS;
+    match share {
+        Switch::Auto if shares_load(share, vms) => {
+            format!("the failure domain has {vms} VMs; {limit} or more share load")
         }
+        Switch::Auto => format!(
+            "the failure domain has {vms} VMs; with fewer than {limit} each sees enough itself"
+        ),
+        Switch::On | Switch::Off => format!("`[load] share` is `{share}`"),
     }
 }
 
--- a/burdocklever/src/refusal.rs
+++ b/burdocklever/src/refusal.rs
@@ -8,7 +8,8 @@
 use crate::rendezvous;
 use crate::routing_table::{Route, RoutingTable, Target};
 use crate::segment::{Segment, Verdict};
-use crate::shortage::{CallerHistory, RefuseMode, RefusedFlows, Room, Shortage, ShortageSettings};
+use crate::shortage::{CallerHistory, RefusedFlows, Room, Shortage, ShortageSettings};
+use crate::switch::Switch;
 use crate::target_load::SharedLoad;
 use crate::time::{Ms, Time};
 
@@ -118,11 +119,11 @@
     /// Why a service refuses nothing, if that does not depend on its load.
     fn reason_off(&self, service: &Service) -> Option<&'static str> {
         match self.settings.refuse {
-            RefuseMode::Off => Some("the settings say so"),
-            RefuseMode::Auto if service.priorities.len() < 2 => {
+            Switch::Off => Some("the settings say so"),
+            Switch::Auto if service.priorities.len() < 2 => {
                 Some("its routes do not differ in priority")
             }
-            RefuseMode::Auto | RefuseMode::On => None,
+            Switch::Auto | Switch::On => None,
         }
     }
 
--- a/burdocklever/src/shortage.rs
+++ b/burdocklever/src/shortage.rs
@@ -16,6 +16,7 @@
 
 use crate::msg::FlowKey;
 use crate::rendezvous;
+use crate::switch::Switch;
 use crate::target_load::TargetLoad;
 use crate::time::{Ms, Time};
 
@@ -55,41 +56,6 @@
 /// Seed that separates the decision's hash from the hash that selects targets.
 const DECISION_SEED: u64 = 0x73_68_6f_72_74;
 
-/// Whether flows are refused for lack of room.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum RefuseMode {
-    /// For services whose routes have different priorities.
-    #[default]
-    Auto,
-    /// For all services.
-    On,
-    /// Never.
-    Off,
-}
-
-impl fmt::Display for RefuseMode {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            RefuseMode::Auto => "auto",
-            RefuseMode::On => "on",
-            RefuseMode::Off => "off",
-        })
-    }
-}
-
-impl FromStr for RefuseMode {
-    type Err = ParseError;
-
-    fn from_str(s: &str) -> Result<RefuseMode, ParseError> {
-        let modes = [RefuseMode::Auto, RefuseMode::On, RefuseMode::Off];
-        let found = modes.into_iter().find(|m| m.to_string() == s);
-        found.ok_or_else(|| ParseError {
-            expected: "auto, on or off",
-            found: s.into(),
-        })
-    }
-}
-
 /// Percentage of a priority's flows that is always let in, from 1 to 50.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Floor(u32);
@@ -122,7 +88,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ShortageSettings {
     /// Whether flows are refused.
-    pub refuse: RefuseMode,
+    pub refuse: Switch,
     /// Percentage of flows that is always let in.
     pub floor: Floor,
 }
--- a/burdocklever/tests/control_plane.rs
+++ b/burdocklever/tests/control_plane.rs
@@ -6,8 +6,7 @@
 
 use burdocklever::{
     Bounds, CallFuture, CatalogueRequest, Code, ControlPlane, ControlState, Environment, Feed,
-    LinkRate, LoadBudget, LoadShare, Ms, Page, Peer, PlatformError, ReadRequest, Start, Store,
-    Time,
+    LinkRate, LoadBudget, Ms, Page, Peer, PlatformError, ReadRequest, Start, Store, Switch, Time,
 };
 use tokio::time::Instant;
 use wire::{Body, DomainState, Incarnation, Member, Object, ObjectKey, Version, VmId};
@@ -148,11 +147,7 @@
     let env = environment(store(), parent.clone(), Arc::default());
     let follower = ControlPlane::spawn(peer(2, 1), true, bounds, &start(vec!["10.0.0.1:80"]), env);
     *child.lock().unwrap() = Some(follower.state());
-    for (share, vms) in [
-        (LoadShare::Auto, 0),
-        (LoadShare::On, 2),
-        (LoadShare::Off, 0),
-    ] {
+    for (share, vms) in [(Switch::Auto, 0), (Switch::On, 2), (Switch::Off, 0)] {
         let mut seen = 0;
         for _ in 0..6 {
             for vm in [&reader, &follower] {
--- a/burdocklever/tests/forwarder.rs
+++ b/burdocklever/tests/forwarder.rs
@@ -2,7 +2,7 @@
 //! a network has shown.
 
 use burdocklever::{
-    CheckOutcome, Code, Forwarder, ForwarderConfig, LoadShare, Ms, Segment, Stage, Time, Token,
+    CheckOutcome, Code, Forwarder, ForwarderConfig, Ms, Segment, Stage, Switch, Time, Token,
     Verdict,
 };
 use wire::{
@@ -691,7 +691,7 @@
 /// A VM of `accra`, which is out of service, with four targets in each of two others.
 fn vm_of_a_domain_that_is_out() -> TestVm {
     let mut vm = TestVm::new();
-    vm.forwarder.set_load_share(LoadShare::On);
+    vm.forwarder.set_load_share(Switch::On);
     vm.add_host(1, "ledger", "accra", |_| {});
     for id in 2..6 {
         vm.add_host(id, "ledger", "tema", |_| {});
@@ -745,7 +745,7 @@
 #[test]
 fn flows_to_unreachable_targets_are_refused_only_if_it_is_switched_on() {
     let mut vm = vm_of_a_domain_that_is_out();
-    vm.forwarder.set_load_share(LoadShare::Off);
+    vm.forwarder.set_load_share(Switch::Off);
     for caller in 1..=30 {
         assert!(target(vm.send_packet(caller, |_| {})).is_some());
         vm.advance(100);
--- a/burdocklever/tests/load_messages.rs
+++ b/burdocklever/tests/load_messages.rs
@@ -1,8 +1,8 @@
 //! Compatibility of catalogue messages with builds that do not share load.
 
 use burdocklever::{
-    CatalogueRequest, Condition, GatewaySettings, LinkRate, LoadBudget, LoadShare, MemberNews, Ms,
-    PackedLoad, Peer,
+    CatalogueRequest, Condition, GatewaySettings, LinkRate, LoadBudget, MemberNews, Ms, PackedLoad,
+    Peer, Switch,
 };
 use serde::{Deserialize, Serialize};
 use wire::{Incarnation, Member, Version, VmId};
@@ -77,12 +77,12 @@
     let default = parse("").unwrap();
     assert_eq!(
         (default.load_share, default.load_budget),
-        (LoadShare::Auto, LoadBudget(4096))
+        (Switch::Auto, LoadBudget(4096))
     );
     let set = parse("[load]\nshare = off\nbudget = 65536\n").unwrap();
     assert_eq!(
         (set.load_share, set.load_budget),
-        (LoadShare::Off, LoadBudget::MAX)
+        (Switch::Off, LoadBudget::MAX)
     );
     let problems = |text: &str| {
         let error = parse(text).unwrap_err();
--- a/burdocklever/tests/load_table.rs
+++ b/burdocklever/tests/load_table.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use burdocklever::{
-    DomainKey, LoadBudget, LoadPart, LoadReport, LoadShare, LoadTable, LoadTarget, Ms, PackedLoad,
-    Recipient, RequestRate, SharedLoad, TargetList, TargetLoad, Time, Token, LOAD_MAX_AGE,
+    shares_load, DomainKey, LoadBudget, LoadPart, LoadReport, LoadTable, LoadTarget, Ms,
+    PackedLoad, Recipient, RequestRate, SharedLoad, TargetList, TargetLoad, Time, Token,
+    LOAD_MAX_AGE,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -318,7 +319,7 @@
 
 #[test]
 fn sharing_is_on_by_default_from_twelve_vms() {
-    let on = |share: &str, vms| share.parse::<LoadShare>().unwrap().applies(vms);
+    let on = |share: &str, vms| shares_load(share.parse().unwrap(), vms);
     assert_eq!((on("auto", 11), on("auto", 12)), (false, true));
     assert_eq!((on("on", 1), on("off", 300)), (true, false));
     assert!("512".parse::<LoadBudget>().is_ok() && "65536".parse::<LoadBudget>().is_ok());
--- a/burdocklever/tests/shortage.rs
+++ b/burdocklever/tests/shortage.rs
@@ -7,8 +7,8 @@
 
 use burdocklever::{
     CallerHistory, Code, Floor, FlowKey, Forwarder, ForwarderConfig, GatewaySettings, Ms,
-    RefusalState, RefuseMode, RequestRate, Room, Segment, SharedLoad, Shortage, ShortageSettings,
-    Stage, TargetLoad, Time, Token, Verdict,
+    RefusalState, RequestRate, Room, Segment, SharedLoad, Shortage, ShortageSettings, Stage,
+    Switch, TargetLoad, Time, Token, Verdict,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -673,11 +673,11 @@
 #[test]
 fn a_service_with_one_priority_or_without_figures_refuses_nothing() {
     let off = ShortageSettings {
-        refuse: RefuseMode::Off,
+        refuse: Switch::Off,
         ..Default::default()
     };
     let on = ShortageSettings {
-        refuse: RefuseMode::On,
+        refuse: Switch::On,
         ..Default::default()
     };
     let auto = ShortageSettings::default();
@@ -729,7 +729,7 @@
     let settings = parse("refuse = on").unwrap().shortage;
     assert_eq!(
         (settings.refuse, settings.floor),
-        (RefuseMode::On, Floor::default())
+        (Switch::On, Floor::default())
     );
     assert_eq!(
         parse("floor = 50").unwrap().shortage.floor.to_string(),
