--- a/burdocklever/src/shortage.rs
+++ b/burdocklever/src/shortage.rs
@@ -295,7 +295,7 @@
     }
 }
 
-/// Flows of one priority that callers opened in the last [`HISTORY_TIME`], by the
+/// Flows of one priority that callers opened in the last two seconds, by the
 /// bucket of the caller's host.
 #[derive(Debug, Clone)]
 pub struct CallerHistory {
@@ -325,7 +325,7 @@
 impl CallerHistory {
     /// Decides whether a flow is refused if `share` of all flows is to be. Hosts that
     /// open more than their share are refused first, then hosts that were not refused
-    /// within [`HISTORY_TIME`].
+    /// within two seconds.
     pub fn refuses(&mut self, now: Time, key: FlowKey, caller: IpAddr, share: f64) -> bool {
         let part = self.advance(now);
         let bucket = bucket(caller);
