Reword comments of shared load and refusals

Cause: read-through; some comments used figures of speech (tell, heard, believed). Change: words only, one private field renamed, one log reason names the setting.

--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -538,7 +538,7 @@
         lock(&self.load).table.stats()
     }
 
-    /// Tells whether this VM is the root of its failure domain, which sums up its load.
+    /// Sets whether this VM is the root of its failure domain, which sums up its load.
     pub(crate) fn set_load_root(&self, root: bool) {
         lock(&self.load).table.set_root(root);
     }
@@ -562,7 +562,7 @@
         self.load_report(to.member.vm, recipient)
     }
 
-    /// Takes over the load that a peer told, if load is shared.
+    /// Merges the load in a peer's message, if load is shared.
     fn accept_load(&self, sender: &MemberNews, packed: Option<&PackedLoad>) {
         let now = (self.clock)();
         let mut load = lock(&self.load);
--- a/burdocklever/src/load_report.rs
+++ b/burdocklever/src/load_report.rs
@@ -1,11 +1,11 @@
-//! Load figures as they travel between VMs, packed into few bytes.
+//! Encoding of load figures in messages between VMs, packed into few bytes.
 //!
 //! A report is its sequence number and its parts, each the sums of one failure domain
 //! or of the sender's subtree. An entry takes three bytes, with rates and times in
 //! logarithmic steps, plus its token (4 bytes). Between VMs with the same catalogue,
-//! entries are in the order of the catalogue's targets and tokens are left out: at the
-//! default budget, a VM that is polled by 22 others has 2.5 bytes for each of 150
-//! targets if it is to tell them all within 2 to 3 s.
+//! entries are in the order of the catalogue's targets and tokens are left out: with 4,096
+//! bytes a second, a VM that is polled by 22 others has 2.5 bytes for each of 150
+//! targets if all are to be sent within 2 to 3 s.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -20,9 +20,9 @@
 use crate::time::Ms;
 use crate::token::Token;
 
-/// Highest rate of a target that is believed. No target serves more requests.
+/// Highest rate of a target that is accepted. No target serves more requests.
 pub const RATE_MAX: RequestRate = RequestRate(200_000);
-/// Longest mean response time that is believed. Callers wait for at most 10 s.
+/// Longest mean response time that is accepted. Callers wait for at most 10 s.
 const RESPONSE_TIME_MAX: Ms = Ms(50_000);
 /// Most flows of a target, and most VMs of a part, that are believed.
 const COUNT_MAX: u32 = 1_000_000;
@@ -97,7 +97,7 @@
     pub entries: Vec<(Token, TargetLoad)>,
 }
 
-/// What one VM tells another about the load of targets.
+/// Load of targets as one VM reports it to another.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Number of the report, ascending in each run of the sender.
--- a/burdocklever/src/load_table.rs
+++ b/burdocklever/src/load_table.rs
@@ -36,7 +36,7 @@
 /// Time over which the budget holds.
 const BUDGET_WINDOW: Ms = Ms(1000);
 /// Difference from the mean of a service, in percent, from which entries go first. Those
-/// closer to the mean tell little, and would keep the others from their turn.
+/// closer to the mean change few decisions, and would delay the others.
 const DIFFERENCE_MIN: u64 = 50;
 /// Most bytes that MessagePack adds to a report.
 const FIELD_HEADER_LEN: usize = 3;
@@ -152,7 +152,7 @@
 struct Sender {
     member: Member,
     sequence: u64,
-    heard: Time,
+    received: Time,
     /// Fingerprint of its list of targets.
     fingerprint: u32,
     /// When its subtree was last reported, and the VMs in it.
@@ -264,7 +264,7 @@
         }
         let spent: usize = self.sent.iter().map(|(_, bytes)| bytes).sum();
         let budget = budget.0 as usize;
-        // One more than there were: else the last to ask gets the rounding of the others.
+        // One more than there were, or the last requester would get only the remainder.
         let share = budget.saturating_sub(REQUEST_RESERVE) / (self.sent.len() + 2);
         budget.saturating_sub(spent + reserve).min(share)
     }
@@ -435,14 +435,14 @@
             let next = sender.member == from && sequence > sender.sequence;
             if next {
                 sender.sequence = sequence;
-                sender.heard = now;
+                sender.received = now;
             }
             return next;
         }
         let sender = Sender {
             member: from,
             sequence,
-            heard: now,
+            received: now,
             fingerprint: 0,
             vms: (Time(0), 0),
             subtree: BTreeMap::new(),
@@ -480,7 +480,7 @@
     fn expire(&mut self, now: Time) {
         let fresh = |_: &Token, (at, _): &mut Dated| is_fresh(now, *at);
         self.senders
-            .retain(|_, s| now.since(s.heard) < SENDER_MEMORY);
+            .retain(|_, s| now.since(s.received) < SENDER_MEMORY);
         for sender in self.senders.values_mut() {
             sender.subtree.retain(fresh);
         }
--- a/burdocklever/src/refusal.rs
+++ b/burdocklever/src/refusal.rs
@@ -119,7 +119,7 @@
     /// Why a service refuses nothing, if that does not depend on its load.
     fn reason_off(&self, service: &Service) -> Option<&'static str> {
         match self.settings.refuse {
-            Switch::Off => Some("the settings say so"),
+            Switch::Off => Some("`[shortage] refuse` is `off`"),
             Switch::Auto if service.priorities.len() < 2 => {
                 Some("its routes do not differ in priority")
             }
--- a/burdocklever/src/shared_placement.rs
+++ b/burdocklever/src/shared_placement.rs
@@ -16,7 +16,7 @@
 /// too often as one of both; with more, targets that seem idle draw more flows
 /// than the figures, which are seconds old, can show.
 const CANDIDATES: usize = 3;
-/// Responses from which a target's response time says something about its speed.
+/// Number of responses from which a target's response time indicates its speed.
 const MIN_SAMPLES: u32 = 8;
 /// Speed of a target whose response time is the service's median, in percent.
 const MEDIAN_SPEED: u32 = 100;
@@ -244,8 +244,8 @@
 /// the others follow. The weights apply while the first one has room. By shared
 /// figures, a flow goes on only to a target that is not busy and is expected to
 /// answer sooner. Where load is shared but not known yet, the weights hold: after the
-/// loss of all VMs each one sees too little to tell a full service from an idle one, and
-/// targets that reject requests at once seem idle. Where it is not shared, a flow goes on
+/// loss of all VMs each one sees too little to distinguish a full service from an idle one,
+/// and targets that reject requests at once seem idle. Where it is not shared, a flow goes on
 /// to a target that is not full by this VM's own figures.
 pub(crate) fn select_service(
     first: Placed,
--- a/burdocklever/src/shortage.rs
+++ b/burdocklever/src/shortage.rs
@@ -180,7 +180,7 @@
     depth: f64,
     /// Number of priorities that may be refused, and since when.
     levels: (u32, Time),
-    /// Depths that were in force lately, with their start.
+    /// Recent depths, with the time from which each was in force.
     past: VecDeque<(Time, f64)>,
 }
 
@@ -412,7 +412,7 @@
     (rendezvous::score(key.0, DECISION_SEED) >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// Flows that were refused lately, so that copies of their opening packets get the
+/// Flows that were refused in the last seconds, so that copies of their opening packets get the
 /// same answer.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RefusedFlows<T> {
