Log what reads of the store return, what is held back and where changes come from

New: a line for each complete read of a feed, the source and the configuration in the lines of changes, gauges config_number and changes_deferred.

--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -11,7 +11,7 @@
 use wire::{Address, VmId};
 
 use crate::contacts::publish_contacts;
-use crate::control_state::{ControlState, Cursor, Environment};
+use crate::control_state::{ChangeSource, ControlState, Cursor, Environment};
 use crate::feed_watch::watch_feed;
 use crate::freshness::Bounds;
 use crate::join::{join, Start};
@@ -421,7 +421,7 @@
         for feed in Feed::ALL {
             let due = state.with_replica(|now, replica| replica.apply_due_changes(now, feed));
             if !due.is_empty() {
-                state.publish(&due);
+                state.publish(&due, ChangeSource::Deferred);
             }
         }
     }
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -2,6 +2,7 @@
 //! answers to peers.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -96,6 +97,27 @@
 pub type QueryPeer =
     dyn Fn(Address, CatalogueRequest, Ms) -> CallFuture<CatalogueReply> + Send + Sync;
 
+/// Where a change to the replica came from, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChangeSource {
+    /// The platform's store.
+    Store,
+    /// A peer.
+    Peer(VmId),
+    /// The end of the time for which the change was held back.
+    Deferred,
+}
+
+impl fmt::Display for ChangeSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ChangeSource::Store => f.write_str("store"),
+            ChangeSource::Peer(vm) => write!(f, "{}", vm.0),
+            ChangeSource::Deferred => f.write_str("deferred"),
+        }
+    }
+}
+
 /// Event passed to [`Environment::on_event`].
 #[derive(Debug)]
 pub enum ControlEvent<'a> {
@@ -270,6 +292,16 @@
         self.replica().era()
     }
 
+    /// Number of the newest configuration that is in force.
+    pub fn config_number(&self) -> u64 {
+        self.replica().config_number()
+    }
+
+    /// Number of changes that are held back.
+    pub fn deferred_changes(&self) -> usize {
+        self.replica().deferred_changes()
+    }
+
     /// Number of feeds with a failed store call and no reported recovery since.
     pub fn failing_feeds(&self) -> usize {
         lock(&self.failing).len()
@@ -445,13 +477,13 @@
         let percent = update.age_percent(&self.bounds);
         *lock(&self.peer_answer) = Some(((self.clock)(), percent));
         let changed = self.with_replica(|now, replica| replica.apply_update(now, update));
-        self.publish(&changed);
+        self.publish(&changed, ChangeSource::Peer(vm));
         true
     }
 
     /// Reports changed objects to `on_event`, and wakes long polls of peers if there
     /// are any or the replica was confirmed.
-    pub(crate) fn publish(&self, objects: &[Object]) {
+    pub(crate) fn publish(&self, objects: &[Object], source: ChangeSource) {
         let replica = self.replica();
         (self.on_event)(ControlEvent::Changed(objects, &replica));
         if replica.next_deferred_change().is_some() {
@@ -459,7 +491,7 @@
         }
         let (complete, confirmed) = (replica.is_complete(), replica.confirmed());
         drop(replica);
-        log_changes(objects);
+        log_changes(objects, source);
         if !complete {
             return;
         }
@@ -664,11 +696,12 @@
 /// Largest number of changes that are logged one by one; more are only counted.
 const LOGGED_CHANGES_MAX: usize = 20;
 
-fn log_changes(objects: &[Object]) {
+fn log_changes(objects: &[Object], source: ChangeSource) {
+    let source = source.to_string();
     if objects.len() > LOGGED_CHANGES_MAX {
         let newest = objects.iter().map(|o| o.version).max().unwrap_or_default();
         log::info!(target: "catalogue", objects = objects.len(), newest = newest.revision(),
-            era = newest.era();
+            era = newest.era(), source = source.as_str();
             "many changes");
         return;
     }
@@ -681,6 +714,6 @@
         };
         log::info!(target: "catalogue", object = object.key.to_string().as_str(),
             version = object.version.revision(), era = object.version.era(),
-            state = state.as_str(); "changed");
+            state = state.as_str(), config = object.change, source = source.as_str(); "changed");
     }
 }
--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::code::Code;
-use crate::control_state::ControlState;
+use crate::control_state::{ChangeSource, ControlState};
 use crate::era::OPERATOR_HOLD;
 use crate::platform_client::{Error, Result};
 use crate::store::{Consistency, Feed, Page, ReadRequest, Store};
@@ -118,6 +118,8 @@
     let (recovered, changed) = state.with_replica(|now, replica| {
         let new_era = replica.is_new_era(feed, page.revision);
         let (era, objects) = (page.revision.era(), page.objects.len());
+        let (known, revision) = (replica.revision(feed), page.revision);
+        let config = page.objects.iter().map(|o| o.change).max();
         let recovered = replica.mark_reachable(now, feed);
         if listed {
             replica.raise_history_floor(feed, page.revision);
@@ -126,6 +128,13 @@
             true => replica.apply_list(now, feed, page.objects, page.revision),
             false => replica.apply_changes(now, feed, page.objects, page.revision),
         };
+        if listed || (page.complete && objects > 0) {
+            log::info!(target: "store", feed = feed.to_string().as_str(), listed = listed,
+                known = known.map_or(0, |v| v.revision()), revision = revision.revision(),
+                config = config.unwrap_or(0), config_known = replica.config_number(),
+                objects = objects, changed = changed.len(), held = replica.deferred_changes();
+                "all objects of a feed read");
+        }
         if new_era {
             log::warn!(target: "store", feed = feed.to_string().as_str(), era = era,
                 objects = objects, changed = changed.len(), held = replica.deferred_changes(),
@@ -137,7 +146,7 @@
     if recovered {
         state.store_recovered(feed);
     }
-    state.publish(&changed);
+    state.publish(&changed, ChangeSource::Store);
     if skipped > 0 {
         log::warn!(target: "catalogue", skipped = skipped; "entries that cannot be used");
     }
--- a/burdocklever/src/gateway.rs
+++ b/burdocklever/src/gateway.rs
@@ -594,6 +594,8 @@
     // Lock order: the control state before the forwarder.
     let ready = is_ready(state, control_state);
     let era = u64::from(control_state.store_era());
+    let config_number = control_state.config_number();
+    let deferred = control_state.deferred_changes();
     let load_stats = control_state.load_stats();
     let forwarder = state.forwarder();
     Sample {
@@ -617,6 +619,8 @@
             ("ready", u64::from(ready)),
             ("feeds_lost", control_state.failing_feeds() as u64),
             ("store_era", era),
+            ("config_number", config_number),
+            ("changes_deferred", deferred as u64),
             ("load_targets", load_stats.targets),
             ("load_vms", load_stats.vms),
             ("load_age_ms", load_stats.age.0),
--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -140,6 +140,13 @@
         self.feeds[feed as usize].confirmed_at
     }
 
+    /// Number of the newest known configuration; zero if there is none.
+    pub fn config_number(&self) -> u64 {
+        let in_feed = |o: &&Object| Feed::of(&o.key) == Some(Feed::Routes);
+        let known = self.catalogue.objects().filter(in_feed);
+        known.map(|o| o.change).max().unwrap_or(0)
+    }
+
     /// Whether all feeds have been read.
     pub fn is_complete(&self) -> bool {
         Feed::ALL.iter().all(|f| self.confirmed_at(*f).is_some())
