Remove a held-back route when a newer configuration lacks it

Callers would see: after the store came back from an older copy, a route that operators drop stays in force for up to 15 s and longer.

Cause: while a VM holds back the copy's removal of a route, it leaves the route out when it looks for what a list lacks, also when that list is of a newer configuration.

Change: a list of routes that is not of a lost configuration ends all that is held back of the routes, as it names every route in force.

Ruled out: targets and failure domains, whose lists say nothing of what an operator or a target is still to write again; they stay held back.

Measured: a_newer_configuration_removes_a_route_that_the_copy_lacked failed before (no change reported), passes now.

--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -212,6 +212,11 @@
             self.confirm(now, feed, revision);
             return changed;
         }
+        let deferred = &mut self.feeds[feed as usize].deferred;
+        if feed == Feed::Routes {
+            // A configuration that is not a lost one decides on all routes.
+            deferred.clear();
+        }
         let absent = self.absent_keys(feed, &list);
         let deferred = &mut self.feeds[feed as usize].deferred;
         let listed: BTreeSet<&ObjectKey> = list.iter().map(|o| &o.key).collect();
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -447,3 +447,30 @@
     other.apply_update(end, peer.update_since(end, &other.revisions()));
     assert_eq!(goal(&other), 300);
 }
+
+fn named_route(name: &str, version: Version, config: u64) -> Object {
+    Object {
+        key: ObjectKey::new("route", name),
+        ..route(version, config, 150)
+    }
+}
+
+/// Guards against a dropped route that stays in force for as long as its removal by the copy is
+/// held back.
+#[test]
+fn a_newer_configuration_removes_a_route_that_the_copy_lacked() {
+    let mut replica = Replica::default();
+    let both = |version, config| {
+        vec![
+            named_route("a", version, config),
+            named_route("b", version, config),
+        ]
+    };
+    list_routes(&mut replica, NOW, both(old(50), 7));
+    list_routes(&mut replica, NOW, vec![named_route("a", new(45), 6)]);
+    assert_eq!(replica.deferred_changes(), 1);
+    let changed = list_routes(&mut replica, NOW, vec![named_route("a", new(60), 8)]);
+    let removed: Vec<&str> = changed.iter().map(|o| &*o.key.name).collect();
+    assert_eq!(removed, ["b"]);
+    assert_eq!(replica.deferred_changes(), 0);
+}
