Keep the number of the configuration in tombstones of routes

Callers would see: a route that operators dropped shortly before the store came back from an older copy is served again at once, by all VMs.

Cause: a VM decides by the number of the configuration whether what it knows is newer than the copy. When it applied a removal it made a new tombstone without that number, so the copy's configuration always counted as newer, and so did the tombstones made from a peer's complete update.

Change: tombstones of routes keep the number of the configuration that lacks the route, wherever they are made.

Ruled out: failure domains and targets, which are judged by revision and incarnation and not by that number.

Measured: a_route_removed_in_the_lost_seconds_does_not_return_with_the_copy failed before (route b was back), passes now, for the VM that read the store and for one that follows it.

--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -229,10 +229,7 @@
         };
         let list: Vec<Object> = list.into_iter().filter(|o| !waits(o)).collect();
         let config = config_number(&list);
-        let removals = absent.into_iter().map(|key| Object {
-            change: config,
-            ..removed(key, revision)
-        });
+        let removals = absent.into_iter().map(|key| removed(key, revision, config));
         // A watch of the routes returns all of them without gaps in their history. An
         // object with an unchanged body then keeps its version, so that it is not sent
         // to peers again, unless that version is of an era before. If it had another body
@@ -325,7 +322,7 @@
         let mut changed = Vec::new();
         for object in list {
             if object.body == Body::Removed {
-                changed.extend(self.remove(now, feed, object.key, object.version, revision));
+                changed.extend(self.remove(now, feed, object, revision));
             } else {
                 changed.extend(self.merge(object));
             }
@@ -368,24 +365,24 @@
         &mut self,
         now: Time,
         feed: Feed,
-        key: ObjectKey,
-        version: Version,
+        removal: Object,
         revision: Version,
     ) -> Option<Object> {
         // The removal of an unknown object is kept too: a peer may have the object.
-        let known = self.catalogue.get(&key).map(|o| o.version);
+        let known = self.catalogue.get(&removal.key).map(|o| o.version);
         let version = match known {
-            Some(known) if known > version => return None,
+            Some(known) if known > removal.version => return None,
             // The store reports a removed object with the version of its last write.
-            Some(known) if known == version => revision.max(Version(known.0 + 1)),
-            _ => version,
+            Some(known) if known == removal.version => revision.max(Version(known.0 + 1)),
+            _ => removal.version,
         };
+        let removal = Object { version, ..removal };
         let state = &mut self.feeds[feed as usize];
         if feed == Feed::Hosts && known.is_some() && now < state.grace_until {
             let until = state.grace_until;
-            let waits = state.deferred.get(&key);
+            let waits = state.deferred.get(&removal.key);
             if waits.is_none_or(|d| d.object.body != Body::Removed) {
-                let removal = removed(key.clone(), version);
+                let key = removal.key.clone();
                 let waiting = Deferred {
                     object: removal,
                     until,
@@ -395,7 +392,7 @@
             }
             return None;
         }
-        self.merge(removed(key, version))
+        self.merge(removal)
     }
 
     /// Merges an object. Returns it if its body changed; each configuration repeats
@@ -478,9 +475,10 @@
             covered && o.body != Body::Removed && !listed.contains(&o.key) && !waits
         };
         let absent: Vec<Object> = self.catalogue.objects().filter(absent).cloned().collect();
+        let config = config_number(&update.objects);
         for object in absent {
             let version = Version(object.version.0 + 1);
-            changed.extend(self.merge(removed(object.key, version)));
+            changed.extend(self.merge(removed(object.key, version, config)));
         }
         for object in update.objects {
             // An update older than the replica answers a request that was sent before
@@ -548,11 +546,14 @@
     repeated.map(|o| o.key.clone()).collect()
 }
 
-fn removed(key: ObjectKey, version: Version) -> Object {
+/// Tombstone of an object. One of a route has the number of the configuration that lacks it,
+/// by which a later copy of the store is judged.
+fn removed(key: ObjectKey, version: Version, config: u64) -> Object {
+    let is_route = Feed::of(&key) == Some(Feed::Routes);
     Object {
         key,
         version,
-        change: 0,
+        change: if is_route { config } else { 0 },
         body: Body::Removed,
     }
 }
--- a/burdocklever/src/replica/copy.rs
+++ b/burdocklever/src/replica/copy.rs
@@ -42,7 +42,9 @@
         }
         state.deferred.clear();
         let absent = self.absent_keys(feed, &list);
-        let removals = absent.into_iter().map(|key| removed(key, revision));
+        let removals = absent
+            .into_iter()
+            .map(|key| removed(key, revision, facts.config));
         let mut changed = Vec::new();
         for object in removals.collect::<Vec<Object>>().into_iter().chain(list) {
             let listed = Some(&object).filter(|o| o.body != Body::Removed);
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -474,3 +474,23 @@
     assert_eq!(removed, ["b"]);
     assert_eq!(replica.deferred_changes(), 0);
 }
+
+/// Guards against a dropped route that is served again when the store comes back from a copy.
+#[test]
+fn a_route_removed_in_the_lost_seconds_does_not_return_with_the_copy() {
+    let mut replica = Replica::default();
+    let both = |version, config| {
+        vec![
+            named_route("a", version, config),
+            named_route("b", version, config),
+        ]
+    };
+    list_routes(&mut replica, NOW, both(old(50), 7));
+    list_routes(&mut replica, NOW, vec![named_route("a", old(55), 8)]);
+    let mut peer = Replica::default();
+    peer.apply_update(NOW, replica.update_since(NOW, &peer.revisions()));
+    for replica in [&mut replica, &mut peer] {
+        let changed = list_routes(replica, NOW, both(new(50), 7));
+        assert_eq!(changed, []);
+    }
+}
