--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -434,6 +434,18 @@
         self.write(key, body, self.config, position);
     }
 
+    /// Writes a configuration that sets or removes a route.
+    pub(crate) fn configure(&mut self, n: u32, present: bool) {
+        self.config += 1;
+        let body = match present {
+            true => route(n, 150),
+            false => Body::Removed,
+        };
+        let position = self.next_position;
+        self.next_position += 1;
+        self.write(ObjectKey::new("route", n), body, self.config, position);
+    }
+
     fn write(&mut self, key: ObjectKey, body: Body, config: u64, position: usize) {
         let object = lock(&self.world.store).put(key, body, config);
         self.record(object.clone(), position);
--- a/model/src/relay.rs
+++ b/model/src/relay.rs
@@ -55,6 +55,35 @@
     play_storm(seed, vms, seconds, flaw, Variant::Copies)
 }
 
+/// Plays a configuration that adds a route, the restart of a seed that reads the store for its
+/// peers and gets an old list, and a configuration that removes the route.
+pub fn restart_with_old_lists(seed: u64) -> Report {
+    const SEED: usize = 0;
+    const NEW_ROUTE: u32 = 100;
+    let plan = Plan {
+        vms: 9,
+        domains: 4,
+        targets: 20,
+        routes: 20,
+        rate: 6000.0,
+        first_fast: SEED as u32,
+    };
+    simulate(async move {
+        let mut fleet = Fleet::spawn(plan, seed, Flaw::None).await;
+        fleet.set_list_age(LIST_AGE);
+        fleet.play(Duration::from_secs(8)).await;
+        fleet.configure(NEW_ROUTE, true);
+        fleet.play(Duration::from_secs(1)).await;
+        fleet.kill(SEED);
+        fleet.play(Duration::from_millis(500)).await;
+        fleet.start(SEED);
+        fleet.play(Duration::from_secs(2)).await;
+        fleet.configure(NEW_ROUTE, false);
+        fleet.play(Duration::from_secs(12)).await;
+        fleet.report(0)
+    })
+}
+
 fn play_storm(seed: u64, vms: u32, seconds: u64, flaw: Flaw, variant: Variant) -> Report {
     let copies = variant == Variant::Copies;
     let plan = Plan {
@@ -121,14 +150,20 @@
             mend(&mut fleet, i);
         }
         fleet.play(Duration::from_secs(12)).await;
+        fleet.report(eras)
+    })
+}
+
+impl Fleet {
+    fn report(&self, eras: u32) -> Report {
         Report {
-            events: fleet.events(),
-            digest: fleet.digest(),
-            broken: fleet.broken(),
-            calls: fleet.store_calls(),
+            events: self.events(),
+            digest: self.digest(),
+            broken: self.broken(),
+            calls: self.store_calls(),
             eras,
         }
-    })
+    }
 }
 
 /// Half of the time a VM that reads the store: its peers depend on it.
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -207,18 +207,21 @@
         if first == all.len() {
             return Ok(None);
         }
-        let told = all[first..].iter().map(|o| self.told(o));
+        let mut told: Vec<Object> = all[first..].iter().map(|o| self.told(o)).collect();
         let mut page = Page::default();
-        match feed {
-            Feed::Routes => {
-                let all_routes = self.list(feed, None).objects;
-                // What was replaced or removed in between comes first, as in the adapter.
-                let is_past = |o: &Object| all_routes.iter().all(|r| r.version != o.version);
-                page.objects = told.filter(is_past).chain(all_routes.clone()).collect();
-                page.complete = true;
+        if feed == Feed::Routes {
+            let routes = self.list(feed, None).objects;
+            // As in the adapter, what was replaced or removed in between comes first. What the
+            // first configuration removed is seen only by its absence.
+            let is_listed = |o: &Object| routes.iter().any(|r| r.key == o.key);
+            if told[0].body == Body::Removed && !is_listed(&told[0]) {
+                told.remove(0);
             }
-            _ => page.objects = told.collect(),
+            told.retain(|o| routes.iter().all(|r| r.version != o.version));
+            told.extend(routes);
+            page.complete = true;
         }
+        page.objects = told;
         page.revision = self.revision();
         Ok(Some(page))
     }
--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -1,7 +1,7 @@
 //! The relay in storms, seeded. `cargo run --release -p model -- relay` plays
 //! more of them.
 
-use model::{storm, storm_with_copies, storm_with_old_lists, Flaw, Report};
+use model::{restart_with_old_lists, storm, storm_with_copies, storm_with_old_lists, Flaw, Report};
 
 /// Whether some storm shows a flaw.
 fn finds(flaw: Flaw, play: fn(u64, u32, u64, Flaw) -> Report) -> bool {
@@ -25,6 +25,15 @@
     assert!(events > 20_000, "only {events} events");
 }
 
+/// Guards against a removed route that stays in force at a VM that read an old list when it
+/// started, and at the VMs that follow it.
+#[test]
+fn a_route_removed_after_a_reader_started_with_an_old_list_is_gone_everywhere() {
+    let report = restart_with_old_lists(1);
+    assert_eq!(report.broken, [""; 0]);
+    assert!(report.events > 9 * 20, "only {} events", report.events);
+}
+
 /// Guards against a VM that starts and takes an old list for what is in force.
 #[test]
 fn no_vm_goes_back_or_is_late_when_lists_are_old() {
