--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -243,3 +243,39 @@
         false => Vec::new(),
     })
 }
+
+/// CONFIG: the store's revisions are large numbers.
+pub fn large_revision(record: &Record, trouble: bool) -> Result<Vec<String>> {
+    let mut world = World::spawn(record.clone(), VMS.len())?;
+    if trouble {
+        // Microseconds of the time of day, as a store may count its changes from.
+        world.store.set_first_revision(1_765_000_000_000_000);
+    }
+    let credit = ("r-credit", 8080, "unsafe", "ledger");
+    let routes = |service| [credit, ("r-manifest", 8443, "download", service)];
+    world.configure(7, &routes("desk"));
+    for (i, zone) in ZONES.iter().enumerate() {
+        world.add_host(0x7f3a_91c2 + i as u64, "ledger", zone)?;
+        world.add_host(0x21b0_44e0 + i as u64, "desk", zone)?;
+        world.add_host(0x5c99_0a10 + i as u64, "archive", zone)?;
+    }
+    start(&mut world)?;
+    send_requests(&mut world, 8443, "manifest-before", 20, ms(50));
+    require_answers(&world, 18)?;
+    world.configure(9, &routes("archive"));
+    let acknowledged = world.record.seconds();
+    world.run(CONTACT);
+    send_requests(&mut world, 8443, "manifest-after", 60, ms(50));
+    world.run(ms(1500));
+    let ran = world.seen.iter().filter_map(|(at, seen)| match &seen.what {
+        What::Ran(id) => Some((at, world.hosts[seen.host].service, id)),
+        _ => None,
+    });
+    let old = ran.filter(|(_, service, id)| id.starts_with("manifest-after") && *service == "desk");
+    Ok(old
+        .map(|(at, service, id)| {
+            let after = at - acknowledged;
+            format!("CONFIG: '{id}' was run by the old service {service} {after:.3} s after the acknowledgement")
+        })
+        .collect())
+}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -36,6 +36,7 @@
         "stale-second-page" => cases::stale_second_page(&record, trouble),
         "unreadable-entry" => cases::unreadable_entry(&record, trouble),
         "page-ends-with-foreign-name" => cases::page_ends_with_foreign_name(&record, trouble),
+        "large-revision" => cases::large_revision(&record, trouble),
         _ => Err("unknown case".into()),
     };
     let (code, text) = match result {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -13,6 +13,8 @@
 const PAGE_ITEMS: usize = 50;
 /// Lists that are recorded one by one; of more, every thousandth is.
 const LISTS_RECORDED: u64 = 200;
+/// Time for which the store keeps its history, `RetentionS`.
+const RETENTION: Duration = Duration::from_secs(20);
 /// Most bytes of a page.
 const PAGE_BYTES: usize = 1_000_000;
 
@@ -35,6 +37,8 @@
 #[derive(Default)]
 struct State {
     revision: u64,
+    /// The revision that the store started with.
+    first: u64,
     objects: BTreeMap<(String, String), Stored>,
     history: Vec<Event>,
     /// Number of lists that were read.
@@ -61,7 +65,7 @@
             record,
             address: listener.local_addr()?,
         };
-        store.lock().revision = 100;
+        store.set_first_revision(100);
         let accepting = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -76,6 +80,13 @@
         self.shared.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Sets the revision that the store starts with. To be called before anything is
+    /// written.
+    pub fn set_first_revision(&self, revision: u64) {
+        let mut state = self.lock();
+        (state.revision, state.first) = (revision, revision);
+    }
+
     /// Sets how far behind serializable answers are.
     pub fn set_lag(&self, first: Duration, continued: Duration) {
         self.lock().lag = (first, continued);
@@ -244,6 +255,10 @@
         let end = Instant::now() + wait.min(Duration::from_secs(30));
         let mut state = self.lock();
         loop {
+            let is_gone = |e: &Event| e.revision > from && e.at.elapsed() > RETENTION;
+            if state.history.iter().any(is_gone) {
+                return (410, b"{}".to_vec());
+            }
             let is_news = |e: &&Event| e.kind == kind && e.revision > from;
             let events: Vec<Vec<u8>> = state
                 .history
@@ -280,7 +295,7 @@
     /// Revision and objects of a kind as they were some time ago.
     fn as_of(&self, kind: &str, lag: Duration) -> (u64, BTreeMap<String, Stored>) {
         let mut objects = BTreeMap::new();
-        let mut revision = 100;
+        let mut revision = self.first;
         for event in &self.history {
             if event.at.elapsed() < lag {
                 break;
