Give a list the lowest revision of its pages

Cause: a list of the targets counted as complete up to the revision of its first page, and the watch started from there. Pages of a serializable list may be answered from data of different age. If a later page was older, the changes between its revision and that of the first page were neither in the list nor in the watch. Peers were told that the list is complete up to there, so they never got them either.

The line `pages of a list read` is new, since one revision per list could not tell a page of old data from a store that dropped an event.

Ruled out: a change held back or dropped by the VM (the watch answer has 0 objects, `held` is 0); a peer that passed on old knowledge (`known` is 0 at the lists of all four VMs, each read the store itself); a placement that ignores the state (no `changed` line says Leaving after the restart).

Change: the list has the lowest revision of its pages. What the watch delivers again is merged by version and changes nothing, so nothing is lost and nothing goes back.

The model serves pages of different age now (`--old-pages`).

--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wire::Version;
+
 use crate::code::Code;
 use crate::control_state::{ChangeSource, ControlState};
 use crate::era::OPERATOR_HOLD;
@@ -155,9 +157,10 @@
 }
 
 /// Reads all pages of a feed, and after a serializable list also the changes since.
-/// The list has the revision of its first page, so changes made while it is read are
-/// delivered again. Throttled pages are retried, since a fleet that starts at once
-/// would otherwise never complete its lists.
+/// Pages may be of different revisions, and any of them may be the oldest. The list has
+/// the lowest revision, so what changed between two pages is delivered again. Throttled
+/// pages are retried, since a fleet that starts at once would otherwise never complete its
+/// lists.
 async fn list(
     state: &ControlState,
     store: &Store,
@@ -167,6 +170,8 @@
 ) -> Result<Vec<Page>> {
     let mut all = Page::default();
     let mut after = None;
+    let mut pages: u64 = 0;
+    let mut newest = Version(0);
     loop {
         let request = ReadRequest::List(after.clone(), consistency);
         let page = read_with_retries(state, store, feed, request, timeout).await?;
@@ -176,6 +181,9 @@
         if page.revision.era() != all.revision.era() {
             return Err(era_ended());
         }
+        all.revision = all.revision.min(page.revision);
+        newest = newest.max(page.revision);
+        pages += 1;
         all.objects.extend(page.objects);
         all.skipped += page.skipped;
         after = page.next;
@@ -184,6 +192,9 @@
         }
     }
     all.complete = true;
+    log::info!(target: "store", feed = feed.to_string().as_str(), pages = pages,
+        oldest = all.revision.revision(), newest = newest.revision(), era = newest.era();
+        "pages of a list read");
     if consistency == Consistency::Linearizable {
         return Ok(vec![all]);
     }
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -632,9 +632,10 @@
         (store.calls, store.refused)
     }
 
-    /// Has the store answer serializable lists from data of this age.
-    pub fn set_list_age(&self, age: Duration) {
-        lock(&self.world.store).list_age = age;
+    /// Has the store answer serializable lists from data of these ages: the first page,
+    /// and the pages after it.
+    pub fn set_list_ages(&self, ages: [Duration; 2]) {
+        lock(&self.world.store).list_ages = ages;
     }
 
     /// Takes the store away, or brings it back.
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use model::{growth, storm_with_copies, storm_with_old_lists, Flaw, Report};
+use model::{growth, storm_with_copies, storm_with_old_lists, storm_with_old_pages, Flaw, Report};
 
 /// Experiments on whole fleets in simulated time. Exit status: 0 done, 1 a promise
 /// was broken or a report could not be written.
@@ -26,6 +26,9 @@
         /// back from older copies
         #[bpaf(long)]
         old_lists: bool,
+        /// The same, with only the pages that continue a list from old data
+        #[bpaf(long)]
+        old_pages: bool,
     },
     /// What control costs a VM as fleets grow; writes docs/figures
     #[bpaf(command)]
@@ -44,10 +47,12 @@
             events,
             vms,
             old_lists,
+            old_pages,
         } => {
-            let play = match old_lists {
-                true => storm_with_old_lists,
-                false => storm_with_copies,
+            let play = match (old_pages, old_lists) {
+                (true, _) => storm_with_old_pages,
+                (false, true) => storm_with_old_lists,
+                (false, false) => storm_with_copies,
             };
             relay(play, seed, events, vms)
         }
--- a/model/src/relay.rs
+++ b/model/src/relay.rs
@@ -37,6 +37,8 @@
     Copies,
     /// Lists that may be old are, and routes are also removed and added.
     OldLists,
+    /// The same, but the first page of a list is current.
+    OldPages,
 }
 
 /// Plays a storm of `seconds` on a fleet of `vms`.
@@ -50,6 +52,12 @@
     play_storm(seed, vms, seconds, flaw, Variant::OldLists)
 }
 
+/// Plays a storm in which the pages that continue a serializable list are older than its
+/// first page, and routes are also removed and added again.
+pub fn storm_with_old_pages(seed: u64, vms: u32, seconds: u64, flaw: Flaw) -> Report {
+    play_storm(seed, vms, seconds, flaw, Variant::OldPages)
+}
+
 /// Plays a storm in which the store also comes back from older copies.
 pub fn storm_with_copies(seed: u64, vms: u32, seconds: u64, flaw: Flaw) -> Report {
     play_storm(seed, vms, seconds, flaw, Variant::Copies)
@@ -70,7 +78,7 @@
     };
     simulate(async move {
         let mut fleet = Fleet::spawn(plan, seed, Flaw::None).await;
-        fleet.set_list_age(LIST_AGE);
+        fleet.set_list_ages([LIST_AGE; 2]);
         fleet.play(Duration::from_secs(8)).await;
         fleet.configure(NEW_ROUTE, true);
         fleet.play(Duration::from_secs(1)).await;
@@ -86,6 +94,7 @@
 
 fn play_storm(seed: u64, vms: u32, seconds: u64, flaw: Flaw, variant: Variant) -> Report {
     let copies = variant == Variant::Copies;
+    let has_old_lists = matches!(variant, Variant::OldLists | Variant::OldPages);
     let plan = Plan {
         vms,
         domains: 4,
@@ -93,14 +102,17 @@
         routes: 20,
         rate: 6000.0,
         // A seed that starts reads the store at once; it is ranked first as well here.
-        first_fast: if variant == Variant::OldLists { 0 } else { 9 },
+        first_fast: if has_old_lists { 0 } else { 9 },
     };
     simulate(async move {
         let mut fleet = Fleet::spawn(plan, seed, flaw).await;
-        if variant == Variant::OldLists {
-            fleet.set_list_age(LIST_AGE);
-            fleet.removes_routes = true;
-        }
+        let ages = match variant {
+            Variant::Plain | Variant::Copies => [Duration::ZERO; 2],
+            Variant::OldLists => [LIST_AGE; 2],
+            Variant::OldPages => [Duration::ZERO, LIST_AGE],
+        };
+        fleet.set_list_ages(ages);
+        fleet.removes_routes = has_old_lists;
         fleet.play(Duration::from_secs(6)).await;
         let mut heal: Vec<(u64, usize)> = Vec::new();
         let mut outage = None;
--- a/model/src/store.rs
+++ b/model/src/store.rs
@@ -13,8 +13,9 @@
 pub(crate) const ANSWER: Duration = Duration::from_millis(4);
 /// Cost of a read that may be answered from old data, in calls.
 pub(crate) const STALE_CALL_COST: f64 = 0.1;
-/// Objects a page.
+/// Objects a page, and a page that may be answered from old data.
 const PAGE: usize = 500;
+const OLD_PAGE: usize = 40;
 
 /// Result of a call.
 pub(crate) type Result<T> = std::result::Result<T, PlatformError>;
@@ -45,8 +46,9 @@
     calls_left: f64,
     filled: Instant,
     pub(crate) down: bool,
-    /// Age of the data that serializable lists are answered from.
-    pub(crate) list_age: Duration,
+    /// Age of the data that serializable lists are answered from: the first page, and
+    /// the pages after it.
+    pub(crate) list_ages: [Duration; 2],
     /// Revisions and when they were written, in the present era.
     written: Vec<(Instant, u64)>,
     /// Calls so far; one that may be answered from old data costs a tenth.
@@ -66,7 +68,7 @@
             calls_left: rate,
             filled: Instant::now(),
             down: false,
-            list_age: Duration::ZERO,
+            list_ages: [Duration::ZERO; 2],
             written: Vec::new(),
             calls: 0.0,
             refused: 0,
@@ -169,9 +171,14 @@
         }
     }
 
-    /// A complete list of a feed as it was `list_age` ago.
-    fn old_list(&self, feed: Feed) -> Page {
-        let recent = |(at, _): &&(Instant, u64)| at.elapsed() < self.list_age;
+    fn answers_old_lists(&self) -> bool {
+        self.list_ages.iter().any(|age| !age.is_zero())
+    }
+
+    /// A page of a feed as it was some time ago.
+    fn old_list(&self, feed: Feed, after: Option<&str>) -> Page {
+        let age = self.list_ages[usize::from(after.is_some())];
+        let recent = |(at, _): &&(Instant, u64)| at.elapsed() < age;
         let first_recent = self.written.iter().find(recent);
         let revision = first_recent.map_or(self.content.revision, |(_, first)| first - 1);
         let mut objects = BTreeMap::new();
@@ -190,8 +197,20 @@
             change: if feed == Feed::Routes { config } else { 0 },
             ..self.told(object)
         };
+        // All routes stand in one object.
+        let most = if feed == Feed::Routes {
+            usize::MAX
+        } else {
+            OLD_PAGE
+        };
+        let rest = objects.into_values();
+        let rest = rest.filter(|o| after.is_none_or(|name| &*o.key.name > name));
+        let mut objects: Vec<Object> = rest.map(told).collect();
+        let more = objects.len() > most;
+        objects.truncate(most);
         Page {
-            objects: objects.into_values().map(told).collect(),
+            next: objects.last().filter(|_| more).map(|o| o.key.name.clone()),
+            objects,
             revision: Version::new(self.era, revision),
             ..Page::default()
         }
@@ -255,8 +274,8 @@
             lock().take()?;
         }
         let page = match ask {
-            ReadRequest::List(_, Consistency::Serializable) if !lock().list_age.is_zero() => {
-                lock().old_list(feed)
+            ReadRequest::List(after, Consistency::Serializable) if lock().answers_old_lists() => {
+                lock().old_list(feed, after.as_deref())
             }
             ReadRequest::List(after, _) => lock().list(feed, after.as_deref()),
             ReadRequest::Watch(from, wait) => {
--- a/model/tests/relay.rs
+++ b/model/tests/relay.rs
@@ -1,7 +1,10 @@
 //! The relay in storms, seeded. `cargo run --release -p model -- relay` plays
 //! more of them.
 
-use model::{restart_with_old_lists, storm, storm_with_copies, storm_with_old_lists, Flaw, Report};
+use model::{
+    restart_with_old_lists, storm, storm_with_copies, storm_with_old_lists, storm_with_old_pages,
+    Flaw, Report,
+};
 
 /// Whether some storm shows a flaw.
 fn finds(flaw: Flaw, play: fn(u64, u32, u64, Flaw) -> Report) -> bool {
@@ -47,6 +50,19 @@
     assert!(events > 20_000, "only {events} events");
 }
 
+/// Guards against a VM that starts and takes a list for as new as its newest page.
+#[test]
+fn no_vm_goes_back_or_is_late_when_later_pages_are_old() {
+    let mut events = 0;
+    for seed in 0..4 {
+        let report = storm_with_old_pages(seed, 24, 30, Flaw::None);
+        let broken = &report.broken;
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        events += report.events;
+    }
+    assert!(events > 20_000, "only {events} events");
+}
+
 #[test]
 fn no_vm_goes_back_when_the_store_returns_from_a_copy() {
     let (mut events, mut eras) = (0, 0);
