Pass on all changes above the revision that a delta starts from

What callers would see: a VM of the product's own daemon keeps a failure domain in service, or a target, after all others have dropped it.

Cause: a VM that gets changes from the platform tells the other VMs of its failure domain what was new to itself, and calls that complete from its earlier revision on. A change that a peer's delta had brought before, without raising the revision, was not new and was left out. A VM that missed that peer's message took the incomplete delta for whole, and was never told again.

Change: the delta is made from the catalogue, with everything above the revision.

--- a/burdocklever/src/node.rs
+++ b/burdocklever/src/node.rs
@@ -359,18 +359,15 @@
     /// VMs of the failure domain.
     fn apply_platform_delta(&mut self, delta: Delta) {
         let from = self.catalogue.revision();
-        let objects = self.apply_delta(delta);
-        if objects.is_empty() || from == Version(0) {
+        let fresh = self.apply_delta(delta);
+        if fresh.is_empty() || from == Version(0) {
             return;
         }
-        let through = self.catalogue.revision();
+        // Also what a peer's delta brought before: a VM that missed that one would count
+        // this one as complete.
+        let delta = self.catalogue.delta(from);
         for to in self.domain_peers() {
-            let delta = Delta {
-                from,
-                through,
-                objects: objects.clone(),
-            };
-            self.send(to, Msg::Delta(delta));
+            self.send(to, Msg::Delta(delta.clone()));
         }
     }
 
