Do not confirm a feed by an answer that is older than the replica

What callers would see: changes that take effect late at VMs that follow a store reader, since it tells them that it is current when it is not.

Cause: an answer of a watch that a peer's update had overtaken was rightly ignored for its objects, but counted as a confirmation that the replica is current. Lists and peers' updates were held to that already; watches were not.

Ruled out: that the next watch makes up for it. It does after some milliseconds if the store can be reached; if the link to the store is cut at that moment, the VM and those that follow it count as fresh for up to the time of a watch too long.

Change: a feed is confirmed only by an answer that is not older than the replica, in one place for lists and watches.

Test: an_answer_of_a_watch_that_was_overtaken_does_not_confirm_a_feed fails on the code before (confirmed 800 ms later than it was).

--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -331,8 +331,12 @@
         changed
     }
 
-    /// Records that a feed is current as of `revision`.
+    /// Records that a feed is current as of `revision`. An answer that a peer's update has
+    /// overtaken does not say that the replica is.
     pub fn confirm(&mut self, now: Time, feed: Feed, revision: Version) {
+        if self.is_behind(feed, revision) {
+            return;
+        }
         let state = &mut self.feeds[feed as usize];
         state.revision = state.revision.max(revision);
         state.confirmed_at = state.confirmed_at.max(Some(now));
--- a/burdocklever/tests/replica.rs
+++ b/burdocklever/tests/replica.rs
@@ -414,3 +414,15 @@
     );
     assert_eq!(replica.confirmed_at(HOSTS), Some(NOW));
 }
+
+/// Guards against a replica that seems fresher than it is: a peer's update overtakes the answer
+/// of a watch, which then says nothing of now.
+#[test]
+fn an_answer_of_a_watch_that_was_overtaken_does_not_confirm_a_feed() {
+    let mut replica = two_hosts();
+    replica.apply_changes(NOW, HOSTS, vec![removed(1, 7)], Version(9));
+    replica.apply_changes(NOW + Ms(800), HOSTS, Vec::new(), Version(6));
+    assert_eq!(replica.confirmed_at(HOSTS), Some(NOW));
+    replica.apply_changes(NOW + Ms(900), HOSTS, Vec::new(), Version(9));
+    assert_eq!(replica.confirmed_at(HOSTS), Some(NOW + Ms(900)));
+}
