Do not take an answer for current that waited while the VM was suspended

What callers would see: a VM that was suspended passes on what it knew before as fresh, so the VMs that follow it ask nobody else, and changes take effect late there.

Cause: an answer of the store confirms a feed when it is read, and a peer's reply tells its age as of when it was made. The timeouts run on the monotonic clock, which does not count a suspension, so an answer that waited in the socket was still taken. A stopped process is not affected: its timers have expired when it goes on.

Change: by the VM's clock, which counts a suspension, an answer of the store that is taken more than 500 ms after its timeout counts as none; a peer's late reply still brings its objects, which are ordered by version, but confirms nothing. 500 ms because a VM with a small share of a core reads late.

--- a/burdocklever/src/control_plane.rs
+++ b/burdocklever/src/control_plane.rs
@@ -144,6 +144,7 @@
         let (mut request, members) = self.request(wait, link.cursor, Some(vm), link.members);
         request.load = self.load_request(peer);
         let limit = wait + ROUND_TRIP_MAX;
+        let sent = (self.clock)();
         let reply = (self.query_peer)(peer.address, request, limit).await;
         match reply {
             Ok(reply) => {
@@ -152,7 +153,7 @@
                     Some(_) => reply.cursor,
                     None => reply.cursor.without_catalogue(),
                 });
-                Ok(self.apply_reply(reply))
+                Ok(self.apply_reply(reply, sent, limit))
             }
             Err(error) => {
                 *link = Link::default();
@@ -291,6 +292,7 @@
 /// Asks some alternatives to the peer above this VM. Returns whether any answered.
 async fn ask_alternatives(state: &ControlState, position: &Position, turn: usize) -> bool {
     let mut calls = JoinSet::new();
+    let sent = (state.clock)();
     for peer in position.alternatives(turn, &state.random) {
         let vm = peer.member.vm;
         let call = (state.query_peer)(peer.address, state.brief_request(), SEEK_TIMEOUT);
@@ -301,7 +303,7 @@
         match done {
             Ok((_, Ok(reply))) => {
                 answered = true;
-                state.apply_reply(reply);
+                state.apply_reply(reply, sent, SEEK_TIMEOUT);
             }
             Ok((vm, Err(error))) => state.record_failure(vm, &error),
             Err(error) => log::error!(target: "peer", error = error.to_string().as_str();
@@ -374,8 +376,9 @@
             continue;
         };
         // Seeds may be gone for good, so a failure is no event.
+        let sent = (state.clock)();
         if let Ok(reply) = (state.query_peer)(*seed, state.brief_request(), ROUND_TRIP_MAX).await {
-            state.apply_reply(reply);
+            state.apply_reply(reply, sent, ROUND_TRIP_MAX);
         }
     }
 }
--- a/burdocklever/src/control_state.rs
+++ b/burdocklever/src/control_state.rs
@@ -30,6 +30,9 @@
 use crate::time::{Ms, Time};
 use crate::token::Token;
 
+/// Time after its timeout in which an answer may still be taken: a VM with a small share
+/// of a core reads late.
+const ANSWER_SLACK: Ms = Ms(500);
 /// Part of a link, as a divisor, that replies to peers may take. Packets share it.
 const REPLY_LINK_DIVISOR: u64 = 8;
 
@@ -460,14 +463,27 @@
         (self.on_event)(ControlEvent::DomainSize(count));
     }
 
-    /// Applies a peer's reply. Returns whether it had a catalogue.
-    pub(crate) fn apply_reply(&self, reply: CatalogueReply) -> bool {
+    /// Whether an answer is taken so long after its timeout that this VM was suspended
+    /// meanwhile, which its timers do not notice.
+    pub(crate) fn is_late(&self, sent: Time, timeout: Ms) -> bool {
+        (self.clock)().since(sent) > timeout + ANSWER_SLACK
+    }
+
+    /// Applies a peer's reply to a request that was sent at `sent` and had `limit` to be
+    /// answered. Returns whether it had a catalogue.
+    pub(crate) fn apply_reply(&self, reply: CatalogueReply, sent: Time, limit: Ms) -> bool {
         let vm = reply.sender.peer.member.vm;
         self.merge_members(vm, &reply.members, Some(&reply.sender));
         self.accept_load(&reply.sender, reply.load.as_ref());
-        let Some(update) = reply.update else {
+        let Some(mut update) = reply.update else {
             return false;
         };
+        if self.is_late(sent, limit) {
+            // The age that the peer tells was true some time ago.
+            log::info!(target: "peer", vm = vm.0;
+                "reply taken after its timeout; it does not confirm the catalogue");
+            update.age = [None; Feed::COUNT];
+        }
         let percent = update.age_percent(&self.bounds);
         *lock(&self.peer_answer) = Some(((self.clock)(), percent));
         let changed = self.with_replica(|now, replica| replica.apply_update(now, update));
--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -59,8 +59,8 @@
                 } else {
                     watch_wait((state.clock)(), state.bounds.watch_interval())
                 };
-                let watched =
-                    (store.read)(feed, ReadRequest::Watch(from, wait), wait + timeout).await;
+                let request = ReadRequest::Watch(from, wait);
+                let watched = read(&state, &store, feed, request, wait + timeout).await;
                 watched.and_then(|page| match page.revision.era() > from.era() {
                     // The revision that was watched from means something else now.
                     true => Err(era_ended()),
@@ -224,14 +224,34 @@
     timeout: Ms,
 ) -> Result<Page> {
     for throttled in 1..=THROTTLED_RETRIES {
-        match (store.read)(feed, request.clone(), timeout).await {
+        match read(state, store, feed, request.clone(), timeout).await {
             Err(error) if error.code == Code::Throttled => {
                 tokio::time::sleep(retry_pause(state, throttled)).await;
             }
             page => return page,
         }
     }
-    (store.read)(feed, request, timeout).await
+    read(state, store, feed, request, timeout).await
+}
+
+/// Reads a feed. An answer that is taken long after its timeout counts as none, since it
+/// says nothing of now.
+async fn read(
+    state: &ControlState,
+    store: &Store,
+    feed: Feed,
+    request: ReadRequest,
+    timeout: Ms,
+) -> Result<Page> {
+    let sent = (state.clock)();
+    let page = (store.read)(feed, request, timeout).await?;
+    match state.is_late(sent, timeout) {
+        true => Err(Error {
+            code: Code::NoPlatform,
+            detail: format!("answer expected within {timeout} was taken too late").into(),
+        }),
+        false => Ok(page),
+    }
 }
 
 /// Exponential backoff from [`RETRY_MIN`] to [`RETRY_MAX`]. Half of it is random, so
--- a/burdocklever/src/join.rs
+++ b/burdocklever/src/join.rs
@@ -112,14 +112,16 @@
             // A seed without a catalogue tells at once whom it knows.
             let hold = vm.map_or(Ms(0), |_| HOLD_TIME);
             let (request, _) = state.request(hold, None, vm, 0);
-            let call = (state.query_peer)(address, request, hold + ANSWER_TIMEOUT);
-            running.spawn(async move { (vm, call.await) });
+            let limit = hold + ANSWER_TIMEOUT;
+            let call = (state.query_peer)(address, request, limit);
+            let asked = Asked { vm, at: now, limit };
+            running.spawn(async move { (asked, call.await) });
         }
         tokio::select! {
             biased;
             Some(done) = running.join_next() => {
-                if let Ok((vm, reply)) = done {
-                    take_reply(state, vm, reply, findings);
+                if let Ok((asked, reply)) = done {
+                    take_reply(state, &asked, reply, findings);
                 }
             }
             () = tokio::time::sleep(HEDGE_DELAY) => {}
@@ -128,17 +130,25 @@
     }
 }
 
+/// A request to a peer, or to a seed whose number is not known.
+#[derive(Debug)]
+struct Asked {
+    vm: Option<VmId>,
+    at: Time,
+    limit: Ms,
+}
+
 fn take_reply(
     state: &ControlState,
-    asked: Option<VmId>,
+    asked: &Asked,
     reply: Result<CatalogueReply>,
     findings: &Findings,
 ) {
     let now = (state.clock)();
-    match (reply, asked) {
+    match (reply, asked.vm) {
         (Ok(reply), _) => {
             findings.placed.store(true, Ordering::Relaxed);
-            state.apply_reply(reply);
+            state.apply_reply(reply, asked.at, asked.limit);
         }
         (Err(_), Some(vm)) => state.members().record_failure(now, vm, ASK_AGAIN),
         // A seed that does not answer is asked again.
