Keep an object that is removed and written again within one answer

What callers would see: a target that started again under its name, or a failure domain that was taken out again, is not known to the VMs that read it and to those that follow them.

Cause: the pages do not say whether the event of a removal has its own revision or that of the object's last write. For the second the removal gets the revision of the answer, so that peers hear of it. If the object was written again before that revision, the new state was older than the removal and was dropped.

Change: the removal stays below the version at which the answer writes the object again.

--- a/burdocklever/src/replica.rs
+++ b/burdocklever/src/replica.rs
@@ -320,11 +320,12 @@
             return Vec::new();
         }
         let mut changed = Vec::new();
-        for object in list {
+        for (i, object) in list.iter().enumerate() {
             if object.body == Body::Removed {
-                changed.extend(self.remove(now, feed, object, revision));
+                let rest = &list[i + 1..];
+                changed.extend(self.remove(now, feed, object.clone(), rest, revision));
             } else {
-                changed.extend(self.merge(object));
+                changed.extend(self.merge(object.clone()));
             }
         }
         self.confirm(now, feed, revision);
@@ -365,11 +366,13 @@
         due.into_iter().filter_map(|o| self.merge(o)).collect()
     }
 
+    /// Applies a removal, which `rest` follows in an answer of `revision`.
     fn remove(
         &mut self,
         now: Time,
         feed: Feed,
         removal: Object,
+        rest: &[Object],
         revision: Version,
     ) -> Option<Object> {
         // The removal of an unknown object is kept too: a peer may have the object.
@@ -377,7 +380,9 @@
         let version = match known {
             Some(known) if known > removal.version => return None,
             // The store reports a removed object with the version of its last write.
-            Some(known) if known == removal.version => revision.max(Version(known.0 + 1)),
+            Some(known) if known == removal.version => {
+                removal_limit(&removal, rest, revision).max(Version(known.0 + 1))
+            }
             _ => removal.version,
         };
         let removal = Object { version, ..removal };
@@ -543,6 +548,18 @@
     list.iter().map(|o| o.change).max().unwrap_or(0)
 }
 
+/// Highest version that a removal in an answer may have: the answer's revision, or below
+/// the version at which the object is written again in the `rest` of the answer.
+fn removal_limit(removal: &Object, rest: &[Object], revision: Version) -> Version {
+    let written = |o: &&Object| {
+        o.key == removal.key && o.body != Body::Removed && o.version > removal.version
+    };
+    match rest.iter().find(written) {
+        Some(next) => revision.min(Version(next.version.0 - 1)),
+        None => revision,
+    }
+}
+
 /// Keys of the objects of which a list has several states.
 fn repeated_keys(list: &[Object]) -> BTreeSet<ObjectKey> {
     let mut keys = BTreeSet::new();
--- a/burdocklever/tests/paged_lists.rs
+++ b/burdocklever/tests/paged_lists.rs
@@ -40,6 +40,8 @@
     lag_max: u64,
     /// Revisions of the pages of the next lists, before random ones are drawn.
     pages: Vec<u64>,
+    /// Whether the event of a removal has the revision of the object's last write.
+    removals_at_last_write: bool,
     /// Number of revisions that a watch may go back.
     retained: u64,
     /// Whether objects are written while lists are read.
@@ -54,6 +56,7 @@
             changes: Vec::new(),
             lag_max: 0,
             pages: Vec::new(),
+            removals_at_last_write: false,
             retained: u64::MAX,
             busy: false,
         }
@@ -132,8 +135,17 @@
         }
         let later = self.changes.iter().filter(|o| o.version.0 > from);
         let of_kind = later.filter(|o| &*o.key.kind == kind(feed));
+        let told = |object: &Object| {
+            let before = self.as_of(object.version.0 - 1, &object.key.kind);
+            let last = before.get(&object.key).map(|o| o.version);
+            let is_early = self.removals_at_last_write && object.body == Body::Removed;
+            Object {
+                version: last.filter(|_| is_early).unwrap_or(object.version),
+                ..object.clone()
+            }
+        };
         Ok(Page {
-            objects: of_kind.cloned().collect(),
+            objects: of_kind.map(told).collect(),
             revision: Version(self.revision),
             ..Page::default()
         })
@@ -310,6 +322,7 @@
             history.write_random();
         }
         history.lag_max = 24;
+        history.removals_at_last_write = seed % 2 == 1;
         history.retained = if seed % 3 == 0 { 30 } else { u64::MAX };
         history.busy = true;
         let history: Shared = Arc::new(Mutex::new(history));
