Read each entry of the store on its own

What callers would see: one entry of another writer stops all VMs from following the targets, the failure domains, the configuration and the contact lists; a VM that starts never becomes ready.

Cause: an answer was parsed as a whole, with the entries kept as text. The parser checks that text, so bytes that are not UTF-8, a number such as 01, or a control character in a string of one entry made the whole answer unreadable. Deep nesting did not: the parser passes over such text without recursion, and so does this code. Besides: a page of contact lists without a usable entry counted as the last one; a page without the configuration was an error, although another had it; a target with missing fields, port 0, a broadcast address or 4,294,967,295 slots was used, the last with the flows of all others.

Change: answers are split into entries without reading them (raw_json); each entry is then read strictly, all of it as UTF-8. What cannot be used names no target; in a watch it removes the target that the entry named before. An evacuation holds whatever its content is.

Ruled out: replacing invalid bytes before parsing (an entry that is not UTF-8 could become usable, and numbers and control characters would still fail); a fallback after a failed parse (two ways to read one answer).

An answer whose quotes or brackets are not balanced is no JSON and cannot be split: it stays an error with its code, and what is known stays in force (an_answer_of_arbitrary_bytes_is_an_error_with_its_code).

--- a/burdocklever/src/feed_watch.rs
+++ b/burdocklever/src/feed_watch.rs
@@ -186,10 +186,18 @@
         pages += 1;
         all.objects.extend(page.objects);
         all.skipped += page.skipped;
-        after = page.next;
+        // An adapter that reads a configuration says that its objects are all routes.
+        all.complete |= page.complete;
+        let last = std::mem::replace(&mut after, page.next);
         if after.is_none() {
             break;
         }
+        if after == last {
+            return Err(unusable("a page of a list ends where the one before ends"));
+        }
+    }
+    if feed == Feed::Routes && all.skipped > 0 && !all.complete {
+        return Err(unusable("no configuration in the list can be used"));
     }
     all.complete = true;
     log::info!(target: "store", feed = feed.to_string().as_str(), pages = pages,
@@ -206,6 +214,13 @@
     Ok(vec![all, changes])
 }
 
+fn unusable(detail: &str) -> Error {
+    Error {
+        code: Code::BadPlatform,
+        detail: detail.into(),
+    }
+}
+
 /// Result of a read during which the store came back from an older copy. As when the
 /// store lost its history, the feed is listed again.
 fn era_ended() -> Error {
--- a/burdocklever/src/lib.rs
+++ b/burdocklever/src/lib.rs
@@ -74,6 +74,7 @@
 mod pin;
 mod placement;
 mod platform_client;
+pub mod raw_json;
 mod reachability;
 mod refusal;
 mod rendezvous;
