Read each object of the platform on its own in the daemon

What callers would see: one object of another writer stops the product's own daemons from following the platform, in lists and in watches; one that starts never takes traffic.

Cause: the daemon parsed an answer as a whole into typed objects, so one with a port out of range, a number too large, an unknown kind or bytes that are not UTF-8 made all of them unreadable.

What cannot be used is left out, counted and logged. A target that was usable before is removed; what operators wrote stays in force until it is written again.

--- a/burdocklever/src/platform_client.rs
+++ b/burdocklever/src/platform_client.rs
@@ -7,9 +7,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use serde::de::DeserializeOwned;
 use wire::{Address, Body, Object, ObjectKey, PutReply, PutRequest, Version, WatchReply};
 
 use crate::code::Code;
+use crate::raw_json;
 use crate::rendezvous;
 
 /// Result of a call to the platform or to a peer.
@@ -129,7 +131,12 @@
         let request = self.http.get(url).timeout(timeout);
         let reply = request.send().await.map_err(transport_error)?;
         let reply = reply.error_for_status().map_err(transport_error)?;
-        reply.json().await.map_err(invalid_response)
+        let body = reply.bytes().await.map_err(transport_error)?;
+        let (reply, skipped) = parse_objects(&body).map_err(invalid_response)?;
+        if skipped > 0 {
+            log::warn!(target: "platform", "{skipped} objects of the platform cannot be used.");
+        }
+        Ok(reply)
     }
 
     /// Returns the object with this key, if it exists.
@@ -209,6 +216,43 @@
     }
 }
 
+/// Reads changed objects, and counts those that cannot be used. They must not affect the
+/// others. A target that was usable before is removed; what operators wrote stays in force.
+fn parse_objects(body: &[u8]) -> std::result::Result<(WatchReply, usize), Box<str>> {
+    let fail = |e: raw_json::Error| e.to_string();
+    let members = raw_json::members(body).map_err(fail)?;
+    let field = |name: &str| {
+        let value = raw_json::value_of(&members, name);
+        value.ok_or_else(|| format!("expected `{name}` in the response"))
+    };
+    let version = read_json(field("version")?).ok_or("expected a version number")?;
+    let (mut objects, mut skipped) = (Vec::new(), 0);
+    for object in raw_json::elements(field("objects")?).map_err(fail)? {
+        let usable = read_json::<Object>(object).filter(Object::is_consistent);
+        skipped += usize::from(usable.is_none());
+        objects.extend(usable.or_else(|| removed_host(object)));
+    }
+    Ok((WatchReply { version, objects }, skipped))
+}
+
+fn read_json<T: DeserializeOwned>(json: &[u8]) -> Option<T> {
+    serde_json::from_str(std::str::from_utf8(json).ok()?).ok()
+}
+
+/// Tombstone of a target whose object cannot be used.
+fn removed_host(object: &[u8]) -> Option<Object> {
+    let members = raw_json::members(object).ok()?;
+    let key: ObjectKey = read_json(raw_json::value_of(&members, "key")?)?;
+    let version = read_json(raw_json::value_of(&members, "version")?)?;
+    let removed = Object {
+        key,
+        version,
+        change: 0,
+        body: Body::Removed,
+    };
+    (&*removed.key.kind == "host" && removed.is_consistent()).then_some(removed)
+}
+
 /// Exponential backoff before retry `attempt`, counted from 0. Half of it is random.
 pub(crate) fn backoff(attempt: u32) -> Duration {
     let full = BACKOFF_MIN
--- a/wire/src/object.rs
+++ b/wire/src/object.rs
@@ -270,6 +270,32 @@
     pub body: Body,
 }
 
+impl Object {
+    /// Whether kind and name in the key are those of the content. The key of an object that
+    /// was removed can only be checked for its form.
+    pub fn is_consistent(&self) -> bool {
+        let name = &*self.key.name;
+        let is_named = |id: &dyn fmt::Display| id.to_string() == name;
+        match (&*self.key.kind, &self.body) {
+            ("service", Body::Service(_)) | ("pool", Body::Pool(_)) => {
+                name.parse::<ServiceId>().is_ok()
+            }
+            ("domain", Body::Domain { .. }) | ("view", Body::View(_)) => {
+                name.parse::<DomainId>().is_ok()
+            }
+            ("route", Body::Route(_)) => true,
+            ("host", Body::Host(host)) => is_named(&host.id),
+            ("vm", Body::Vm(vm)) => is_named(&vm.member.vm),
+            ("host", Body::Removed) => {
+                let id = name.parse::<HostId>();
+                id.is_ok_and(|id| is_named(&id))
+            }
+            (_, Body::Removed) => true,
+            _ => false,
+        }
+    }
+}
+
 /// Body of a conditional write.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PutRequest {
