--- a/burdocklever/tests/paged_lists.rs
+++ b/burdocklever/tests/paged_lists.rs
@@ -339,3 +339,86 @@
     }
     assert!(differ.is_empty(), "{} of 200: {differ:?}", differ.len());
 }
+
+/// A store whose lists are the given pages, over and over, and nothing else.
+fn store_of_pages(pages: Vec<Page>, calls: Arc<Mutex<Vec<Feed>>>) -> Store {
+    Store {
+        read: Box::new(move |feed, request, _| {
+            let page = match request {
+                ReadRequest::List(after, _) if feed == Feed::Routes => {
+                    pages[usize::from(after.is_some()) % pages.len()].clone()
+                }
+                _ => Page {
+                    revision: Version(9),
+                    ..Page::default()
+                },
+            };
+            calls.lock().unwrap().push(feed);
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                Ok(page)
+            })
+        }),
+        read_contacts: Box::new(|_| no_store()),
+        write_contacts: Box::new(|_, _| no_store()),
+    }
+}
+
+fn route_page(complete: bool, skipped: usize, next: Option<&str>) -> Page {
+    let route = Object {
+        key: ObjectKey::new("pool", "ledger"),
+        version: Version(9),
+        change: 1,
+        body: Body::Pool(wire::Pool {
+            conns: 1,
+            cold_ms: 0,
+            cold_rate: 0,
+        }),
+    };
+    Page {
+        objects: if complete { vec![route] } else { Vec::new() },
+        complete,
+        skipped,
+        next: next.map(Into::into),
+        revision: Version(9),
+    }
+}
+
+/// Guards against a VM that never starts because the configuration is on another page than
+/// an entry that cannot be used, and against one that starts without any route.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_counts_on_whatever_page_it_is() {
+    let odd = |next| route_page(false, 1, next);
+    let cases = [
+        (vec![odd(Some("m")), route_page(true, 0, None)], true),
+        (vec![route_page(true, 0, Some("m")), odd(None)], true),
+        (vec![odd(Some("m")), odd(None)], false),
+    ];
+    for (pages, starts) in cases {
+        let vm = spawn(
+            1,
+            store_of_pages(pages, Arc::default()),
+            &[],
+            Known::default(),
+        );
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let is_complete = vm.state().replica().is_complete();
+        assert_eq!(is_complete, starts);
+    }
+}
+
+/// Guards against calls without end to a store that repeats the page that it is asked to
+/// continue.
+#[tokio::test(start_paused = true)]
+async fn a_list_that_does_not_continue_is_read_again_after_a_pause() {
+    let calls: Arc<Mutex<Vec<Feed>>> = Arc::default();
+    let page = route_page(true, 0, Some("m"));
+    let pages = store_of_pages(vec![page], calls.clone());
+    let vm = spawn(1, pages, &[], Known::default());
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let lists = calls.lock().unwrap();
+    let lists = lists.iter().filter(|feed| **feed == Feed::Routes).count();
+    // Two pages every 0.25 s at least; without a pause there are 1,000.
+    assert!((20..160).contains(&lists), "{lists} pages in 20 s");
+    assert!(!vm.state().replica().is_complete());
+}
