Do not fail on figures at the ends of their ranges

What callers would see: a daemon of the product's own ends the handling of each request for a service that an object gives no slots; in builds with overflow checks, also for targets whose slots add up to more than 32 bits. In builds without, the sum is a wrong one.

Cause: the utilisation of a target was computed before it was asked whether there is a slot, so 0 slots divided by zero. Sums and products of slots were not saturating, in the daemon's choice of a VM, in the room of a service and in the test for a busy target.

--- a/burdocklever/src/dispatch.rs
+++ b/burdocklever/src/dispatch.rs
@@ -68,7 +68,8 @@
         for (member, load) in self.cell_loads() {
             let host = self.catalogue.host(load.host);
             if host.is_some_and(|h| h.service == *service) {
-                *free.entry(member).or_default() += load.slots.saturating_sub(load.busy);
+                let slots = free.entry(member).or_default();
+                *slots = slots.saturating_add(load.slots.saturating_sub(load.busy));
             }
         }
         let has_room = |m: &Member| {
@@ -135,7 +136,7 @@
         let candidates = open.filter_map(|(id, t)| {
             let busy = self.admission.running(*id) + self.remote_busy(*id);
             let slots = t.capacity.slots(&t.limits);
-            (busy < slots).then_some((busy * 1024 / slots, t.conns(), *id))
+            (busy < slots).then(|| (busy.saturating_mul(1024) / slots, t.conns(), *id))
         });
         candidates.min().map(|(_, _, id)| id)
     }
--- a/burdocklever/src/placement.rs
+++ b/burdocklever/src/placement.rs
@@ -56,7 +56,8 @@
 /// requests there; each of the `domain_size` VMs of the failure domain is
 /// assumed to have as many.
 pub(crate) fn is_busy(pending: u32, domain_size: u32, slots: u32) -> bool {
-    pending > 0 && pending.saturating_mul(domain_size.max(1)) >= slots.max(1) * BUSY_PER_SLOT
+    pending > 0
+        && pending.saturating_mul(domain_size.max(1)) >= slots.max(1).saturating_mul(BUSY_PER_SLOT)
 }
 
 /// Load of a target with `flows` open flows, of which `pending` have an
--- a/burdocklever/src/shortage.rs
+++ b/burdocklever/src/shortage.rs
@@ -127,7 +127,7 @@
             let rate = f64::from(load.rate.0) / 100.0;
             // Little's law.
             let in_progress = rate * load.response_time.0 as f64 / 1000.0;
-            room.slots += slots;
+            room.slots = room.slots.saturating_add(slots);
             room.free += (f64::from(slots) - in_progress).max(0.0);
             room.in_progress += in_progress;
             room.rate += rate;
--- a/burdocklever/tests/platform_entries.rs
+++ b/burdocklever/tests/platform_entries.rs
@@ -4,10 +4,14 @@
 use std::sync::{Arc, Mutex};
 
 use axum::Router;
-use burdocklever::PlatformClient;
+use burdocklever::{
+    Action, Delta, Event, FlowKey, Mark, Ms, Node, Packet, PacketId, PlatformClient, Request,
+    RequestId, Time,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wire::{Body, Object, Version};
+use serde_json::{json, Value};
+use wire::{Body, Incarnation, Member, Object, Version, VmId};
 
 /// Depth of the nested objects. Reading each level with a call would overflow the stack.
 const DEPTH: usize = 100_000;
@@ -154,3 +158,107 @@
         }
     }
 }
+
+/// An object with figures at the ends of their ranges.
+fn extreme_object(rng: &mut ChaCha8Rng, version: u64) -> Value {
+    let big =
+        |rng: &mut ChaCha8Rng, max: u64| [0, 1, 2, max / 2, max - 1, max][rng.random_range(0..6)];
+    let small = |rng: &mut ChaCha8Rng| big(rng, u64::from(u32::MAX));
+    let domain = ["accra", "tema"][rng.random_range(0..2)];
+    let address = format!(
+        "10.0.0.{}:{}",
+        rng.random_range(0..4),
+        rng.random_range(0..=u16::MAX)
+    );
+    let id = big(rng, u64::MAX);
+    let (kind, name, body) = match rng.random_range(0..5) {
+        0 => (
+            "service",
+            "ledger".into(),
+            json!({ "service": {
+            "owner": "", "class": "bulk", "address": address, "once": rng.random::<bool>(),
+            "limits": { "slots": small(rng), "conns": small(rng), "cold_slots": small(rng), "cold_conns": small(rng) },
+            "deadline_ms": big(rng, u64::MAX)
+        } }),
+        ),
+        1 => (
+            "domain",
+            domain.into(),
+            json!({ "domain": { "state": "out" } }),
+        ),
+        2 => (
+            "view",
+            domain.into(),
+            json!({ "view": {
+            "number": big(rng, u64::MAX - 1), "members": [{ "vm": 1, "life": 1 }], "old": []
+        } }),
+        ),
+        3 => (
+            "vm",
+            "2".to_string(),
+            json!({ "vm": {
+            "member": { "vm": 2, "life": big(rng, u64::MAX) }, "domain": domain, "datagram": address,
+            "peer": address, "http": address, "state": "live"
+        } }),
+        ),
+        _ => (
+            "host",
+            id.to_string(),
+            json!({ "host": {
+            "id": id, "service": "ledger", "domain": domain, "address": address, "state": "live",
+            "life": big(rng, u64::MAX), "cold_ms": big(rng, u64::MAX), "slots": small(rng)
+        } }),
+        ),
+    };
+    json!({ "key": { "kind": kind, "name": name }, "version": version, "change": 0, "body": body })
+}
+
+/// Guards against a daemon that ends because of an object that it accepts.
+#[test]
+fn a_node_handles_objects_with_figures_at_the_ends_of_their_ranges() {
+    let mut forwarded = 0;
+    for seed in 0..500 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let me = Member {
+            vm: VmId(1),
+            incarnation: Incarnation(1),
+        };
+        let mut node = Node::new(Time(1000), me, "accra".parse().unwrap());
+        let mut now = Time(1000);
+        for version in 1..40 {
+            now = now + Ms(rng.random_range(1..3000));
+            let object: Object = serde_json::from_value(extreme_object(&mut rng, version)).unwrap();
+            assert!(object.is_consistent(), "{object:?}");
+            let service = match &object.body {
+                Body::Service(service) => service.address,
+                _ => "10.0.0.1:80".parse().unwrap(),
+            };
+            node.feed(
+                now,
+                Event::CatalogueDelta(Delta {
+                    from: Version(version - 1),
+                    through: Version(version),
+                    objects: vec![object],
+                }),
+            );
+            node.feed(now, Event::Tick);
+            let key = FlowKey(rng.random());
+            let packet = Packet {
+                key,
+                service,
+                mark: Mark::First,
+            };
+            node.feed(now, Event::Packet(PacketId(version), packet));
+            let request = Request {
+                service: "ledger".parse().unwrap(),
+                key: None,
+                deadline: Ms(u64::MAX),
+            };
+            node.feed(now, Event::Request(RequestId(version), request));
+            while let Some(action) = node.pull() {
+                forwarded += u64::from(matches!(action, Action::Deliver(..)));
+            }
+        }
+    }
+    assert!(forwarded > 100, "only {forwarded} packets were delivered");
+}
