Take no entry of an unknown service for the new owner of an address

Cause: a target that does not answer counts as gone at once if a later started one has its address. An entry of another writer with a service that no configuration names was taken for such a target, so the flows were reset without a check of the target itself.

Change: only targets of a service that a configuration has named count. One that is named later counts from then on.

Tests: an_entry_of_an_unknown_service_does_not_reset_the_flows_at_its_address failed before; an_entry_of_a_service_that_is_named_later_is_a_target and flows_to_a_target_whose_address_was_reused_are_reset hold the other side.

Open: an entry of another writer that is complete and of a known service cannot be told from a target.

--- a/burdocklever/src/routing_table.rs
+++ b/burdocklever/src/routing_table.rs
@@ -41,6 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Service {
     pub(crate) id: ServiceId,
+    /// Whether a configuration has named it.
+    pub(crate) configured: bool,
     pub(crate) pool: Option<Pool>,
     /// Indices of its targets.
     pub(crate) targets: Vec<usize>,
@@ -130,6 +132,7 @@
             ("pool", Body::Pool(pool)) => {
                 if let Ok(id) = object.key.name.parse() {
                     let service = self.service(&id);
+                    self.services[service].configured = true;
                     self.services[service].pool = Some(pool.clone());
                 }
             }
@@ -160,6 +163,7 @@
         let known = self.routes.remove(&route.address);
         let mut all_services = known.map_or_else(Vec::new, |r| r.all_services);
         for (service, _) in &shares {
+            self.services[*service].configured = true;
             if !all_services.contains(service) {
                 all_services.push(*service);
             }
@@ -295,6 +299,7 @@
         }
         self.services.push(Service {
             id: id.clone(),
+            configured: false,
             pool: None,
             targets: Vec::new(),
             tokens: FxHashMap::default(),
@@ -325,10 +330,15 @@
             && self.domains[target.domain].out_since.is_none()
     }
 
-    /// Whether a newer target has the same address as a target.
+    /// Whether a newer target has the same address as a target. An entry of a service that no
+    /// configuration names is no target: another program wrote it.
     pub(crate) fn is_address_reused(&self, index: usize) -> bool {
         let old = &self.targets[index];
-        let reuses = |t: &Target| t.address == old.address && t.incarnation > old.incarnation;
+        let reuses = |t: &Target| {
+            t.address == old.address
+                && t.incarnation > old.incarnation
+                && self.services[t.service].configured
+        };
         self.targets.iter().any(reuses)
     }
 
--- a/burdocklever/tests/forwarder.rs
+++ b/burdocklever/tests/forwarder.rs
@@ -439,6 +439,36 @@
     assert_eq!(vm.take_check(), None);
 }
 
+/// Guards against resets of a live target's flows because of an entry of another writer: it has
+/// the target's address, but no configuration names its service.
+#[test]
+fn an_entry_of_an_unknown_service_does_not_reset_the_flows_at_its_address() {
+    let mut vm = vm_with_silent_target();
+    vm.add_host(3, "kiosk-old", "tema", |h| {
+        h.address = Address::from(([10, 0, 0, 1], 80));
+        h.incarnation = Incarnation(2);
+    });
+    vm.advance(200);
+    assert_eq!(target(vm.send_request(1, HostId(1))), Some(HostId(1)));
+    assert_eq!(vm.take_check(), Some(1), "the target itself is asked");
+    assert_eq!(vm.take_resets(), [0; 0]);
+}
+
+/// The same entry once a configuration names its service: the address was given to another target.
+#[test]
+fn an_entry_of_a_service_that_is_named_later_is_a_target() {
+    let mut vm = vm_with_silent_target();
+    vm.add_host(3, "kiosk-new", "tema", |h| {
+        h.address = Address::from(([10, 0, 0, 1], 80));
+        h.incarnation = Incarnation(2);
+    });
+    vm.add_pool("kiosk-new");
+    vm.advance(200);
+    let verdict = vm.send_request(1, HostId(1));
+    assert_eq!(verdict, Verdict::Reset(Code::FlowEnded));
+    assert_eq!(vm.take_resets(), [2, 3, 4]);
+}
+
 /// When a failure domain returns, its cold targets get all requests that waited
 /// meanwhile at once. A target whose queue is full accepts no more requests and
 /// does not answer for a second, but is alive. Found in system vcc-takeback,
