Keep 54 bits of the store's revision in a version

Cause: a version held 48 bits of the revision.

Change: 54 bits for the revision, 10 for the number of returns from a copy. JSON numbers are exact up to 2^53 only, so a store does not count higher. While the store has not come back from a copy, versions are the same numbers as before; VMs of two builds do not understand each other's versions after that, until all run one build.

Ruled out: 128 bits for a version (other numbers on the wire between VMs, for revisions that JSON does not carry).

Test: changes_of_a_store_with_large_revisions_are_taken failed before.

--- a/burdocklever/tests/replica.rs
+++ b/burdocklever/tests/replica.rs
@@ -426,3 +426,28 @@
     replica.apply_changes(NOW + Ms(900), HOSTS, Vec::new(), Version(9));
     assert_eq!(replica.confirmed_at(HOSTS), Some(NOW + Ms(900)));
 }
+
+/// Guards against a VM that takes no change of a known object: the store counts in
+/// microseconds of the time of day, or up to the last number that is exact in JSON.
+#[test]
+fn changes_of_a_store_with_large_revisions_are_taken() {
+    for first in [1_765_000_000_000_000, (1 << 53) - 3] {
+        for era in [0, 1, 1023] {
+            let at = |revision: u64| Version::new(era, first + revision);
+            let object = |id, version| Object {
+                version,
+                ..host(id, 0)
+            };
+            let mut replica = Replica::default();
+            replica.apply_list(NOW, HOSTS, vec![object(1, at(0)), object(2, at(1))], at(1));
+            let removal = Object {
+                version: at(2),
+                ..removed(1, 0)
+            };
+            let changed = replica.apply_changes(NOW, HOSTS, vec![removal], at(2));
+            assert_eq!(names(&changed), ["-1"], "{first}, era {era}");
+            assert_eq!((at(2).era(), at(2).revision()), (era, first + 2));
+            assert!(Version::new(era, u64::MAX) >= at(2));
+        }
+    }
+}
--- a/wire/src/id.rs
+++ b/wire/src/id.rs
@@ -117,14 +117,21 @@
 );
 
 impl Version {
-    /// Bits that hold the revision.
-    const REVISION_BITS: u32 = 48;
-
-    /// Version of a revision in an era. A revision above 2^48 - 1 is cut to that.
+    /// Bits that hold the revision. Numbers above 2^53 are not exact in JSON everywhere, so a
+    /// platform does not count higher.
+    const REVISION_BITS: u32 = 54;
+    /// Highest revision, and highest era.
+    const REVISION_MAX: u64 = (1 << Version::REVISION_BITS) - 1;
+    const ERA_MAX: u64 = u64::MAX >> Version::REVISION_BITS;
+
+    /// Version of a revision in an era. A revision above 2^54 - 1 is cut to that, an era
+    /// above 1,023 as well.
     pub const fn new(era: u16, revision: u64) -> Version {
-        let most = (1 << Version::REVISION_BITS) - 1;
+        let (era, most) = (era as u64, Version::REVISION_MAX);
         let revision = if revision > most { most } else { revision };
-        Version(((era as u64) << Version::REVISION_BITS) | revision)
+        let most = Version::ERA_MAX;
+        let era = if era > most { most } else { era };
+        Version((era << Version::REVISION_BITS) | revision)
     }
 
     /// Number of times that the platform's revisions have started again.
@@ -134,7 +141,7 @@
 
     /// The platform's revision.
     pub const fn revision(self) -> u64 {
-        self.0 & ((1 << Version::REVISION_BITS) - 1)
+        self.0 & Version::REVISION_MAX
     }
 }
 number_id!(
