Do not judge a copy of the store by what targets write

Cause: an object with the revision and the content that a VM knows was taken as proof that the copy reaches that revision, so an evacuation below it that the copy lacks counted as lifted. Targets write their entries again by themselves within seconds, in any order, and one can get the revision that it had.

Change: only what operators write proves how far a copy reaches.

Ruled out: two matching targets in place of one (two that swap their order with others pass as well).

Test: a_target_written_again_at_its_former_revision_does_not_end_an_evacuation failed before; an_evacuation_that_the_copy_lacks_ends_if_a_later_one_is_in_it holds the other side.

Open: an operator who writes a configuration or another evacuation again at its former revision, before the lost one, still ends the lost one.

--- a/burdocklever/src/replica/copy.rs
+++ b/burdocklever/src/replica/copy.rs
@@ -65,11 +65,14 @@
         changed
     }
 
-    /// What a list shows of the copy that it comes from.
+    /// What a list shows of the copy that it comes from. Targets write their entries again by
+    /// themselves, and one may get the revision that it had before, so they prove nothing.
     fn copy_facts(&mut self, list: &[Object], revision: Version) -> CopyFacts {
         let is_unchanged = |o: &&Object| {
             let known = self.catalogue.get(&o.key);
-            known.is_some_and(|k| k.version.revision() == o.version.revision() && k.body == o.body)
+            let same =
+                |k: &Object| k.version.revision() == o.version.revision() && k.body == o.body;
+            Feed::of(&o.key) != Some(Feed::Hosts) && known.is_some_and(same)
         };
         let unchanged = list.iter().filter(is_unchanged);
         let reaches = unchanged.map(|o| o.version.revision()).max().unwrap_or(0);
--- a/burdocklever/tests/era.rs
+++ b/burdocklever/tests/era.rs
@@ -156,6 +156,35 @@
     assert_eq!(decide(&domain(old(50)), None, config(0)), OPERATOR_HOLD);
 }
 
+/// Guards against an evacuation that ends although it was only lost: a target writes its entry
+/// again, and by chance gets the revision that it had.
+#[test]
+fn a_target_written_again_at_its_former_revision_does_not_end_an_evacuation() {
+    let mut replica = Replica::default();
+    let known = host(old(52), 1, Lifecycle::Leaving);
+    replica.apply_list(NOW, Feed::Hosts, vec![known], old(52));
+    replica.apply_list(NOW, Feed::Domains, vec![domain(old(50))], old(52));
+    let again = host(new(52), 1, Lifecycle::Leaving);
+    replica.apply_list(NOW, Feed::Hosts, vec![again], new(52));
+    assert_eq!(replica.apply_list(NOW, Feed::Domains, vec![], new(52)), []);
+    assert_eq!(replica.deferred_changes(), 1);
+}
+
+/// Another evacuation that is the same shows that the copy reaches its revision.
+#[test]
+fn an_evacuation_that_the_copy_lacks_ends_if_a_later_one_is_in_it() {
+    let mut replica = Replica::default();
+    let later = |version: Version| Object {
+        key: ObjectKey::new("domain", "zz-later"),
+        ..domain(version)
+    };
+    let known = vec![domain(old(50)), later(old(51))];
+    replica.apply_list(NOW, Feed::Domains, known, old(52));
+    let changed = replica.apply_list(NOW, Feed::Domains, vec![later(new(51))], new(52));
+    let removed = changed.iter().filter(|o| o.body == Body::Removed);
+    assert_eq!(removed.count(), 1);
+}
+
 #[test]
 fn an_evacuation_that_was_lifted_in_the_lost_seconds_does_not_return() {
     let known = gone(domain(old(50)), old(50));
