--- a/burdocklever/src/platform_client.rs
+++ b/burdocklever/src/platform_client.rs
@@ -7,7 +7,6 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use serde::de::DeserializeOwned;
 use wire::{Address, Body, Object, ObjectKey, PutReply, PutRequest, Version, WatchReply};
 
 use crate::code::Code;
@@ -225,25 +224,21 @@
         let value = raw_json::value_of(&members, name);
         value.ok_or_else(|| format!("expected `{name}` in the response"))
     };
-    let version = read_json(field("version")?).ok_or("expected a version number")?;
+    let version = raw_json::read(field("version")?).ok_or("expected a version number")?;
     let (mut objects, mut skipped) = (Vec::new(), 0);
     for object in raw_json::elements(field("objects")?).map_err(fail)? {
-        let usable = read_json::<Object>(object).filter(Object::is_consistent);
+        let usable = raw_json::read::<Object>(object).filter(Object::is_consistent);
         skipped += usize::from(usable.is_none());
         objects.extend(usable.or_else(|| removed_host(object)));
     }
     Ok((WatchReply { version, objects }, skipped))
 }
 
-fn read_json<T: DeserializeOwned>(json: &[u8]) -> Option<T> {
-    serde_json::from_str(std::str::from_utf8(json).ok()?).ok()
-}
-
 /// Tombstone of a target whose object cannot be used.
 fn removed_host(object: &[u8]) -> Option<Object> {
     let members = raw_json::members(object).ok()?;
-    let key: ObjectKey = read_json(raw_json::value_of(&members, "key")?)?;
-    let version = read_json(raw_json::value_of(&members, "version")?)?;
+    let key: ObjectKey = raw_json::read(raw_json::value_of(&members, "key")?)?;
+    let version = raw_json::read(raw_json::value_of(&members, "version")?)?;
     let removed = Object {
         key,
         version,
--- a/burdocklever/src/raw_json.rs
+++ b/burdocklever/src/raw_json.rs
@@ -5,6 +5,7 @@
 //! nested to any depth, as long as its quotes and brackets are balanced. The stack and the
 //! memory in use do not depend on it.
 
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 /// Result of splitting a text.
@@ -70,6 +71,12 @@
     named.map(|(_, value)| *value)
 }
 
+/// Reads a part. All of it must be UTF-8, also what `T` leaves out; none if it is not, or if it
+/// is no `T`.
+pub fn read<T: DeserializeOwned>(json: &[u8]) -> Option<T> {
+    serde_json::from_str(std::str::from_utf8(json).ok()?).ok()
+}
+
 /// Position in a text.
 struct Parts<'a> {
     json: &'a [u8],
