--- a/burdocklever/src/raw_json.rs
+++ b/burdocklever/src/raw_json.rs
@@ -6,13 +6,12 @@
 //! memory in use do not depend on it.
 
 use serde::de::DeserializeOwned;
-use thiserror::Error;
 
 /// Result of splitting a text.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Text that is not the expected object or array, or whose parts have no end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("expected {expected} at byte {at}")]
 pub struct Error {
     /// What was expected.
