--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -15,6 +15,8 @@
     let mut world = match case {
         "dropped-route" => World::spawn(&["accra", "tema", "accra", "tema"], 0)?,
         "restart" => World::spawn(&["accra", "tema", "accra", "tema"], 2)?,
+        "late-evacuation" => World::spawn(&["accra", "tema", "accra", "tema"], 0)?,
+        "same-revision" => World::spawn(&["accra", "tema", "accra", "tema"], 0)?,
         "late-operator" => World::spawn(&["accra", "tema", "accra", "tema"], 0)?,
         _ => return Err(other("no such case")),
     };
@@ -24,6 +26,8 @@
     let result = match case {
         "dropped-route" => dropped_route(&mut world, trouble, seconds(25)),
         "restart" => restart(&mut world, trouble),
+        "late-evacuation" => late_evacuation(&mut world, trouble),
+        "same-revision" => same_revision(&mut world, trouble),
         "late-operator" => late_operator(&mut world, trouble),
         _ => Err(other("no such case")),
     };
@@ -62,7 +66,7 @@
         "drill: the store is away, at revision {}",
         world.store.revision()
     ));
-    world.store.leave();
+    world.store.leave(false);
     std::thread::sleep(AWAY);
     world.store.come_back(copy);
     world.record.add(&format!(
@@ -214,3 +218,119 @@
     let from = (first + EVACUATE).max(back + CONTACT);
     Ok(run_in_zone(world, &tries, "accra", from, again))
 }
+
+/// Time for which the store is away in each of some drills.
+const SHORT_AWAY: Duration = Duration::from_millis(300);
+/// Number of drills.
+const DRILLS: usize = 10;
+
+/// A zone is evacuated and taken back. The store loses both in a drill, and the operator
+/// evacuates the zone right after the return.
+fn late_evacuation(world: &mut World, trouble: bool) -> Result {
+    let routes = [("a", 443)];
+    let a = world.route("a", 443, "ledger");
+    world.write_config(7, &[a]);
+    start(world, &routes)?;
+    let mut broken = Vec::new();
+    for _ in 0..DRILLS {
+        let copy = world.store.copy();
+        std::thread::sleep(Duration::from_millis(300));
+        world.store.put("evacuations", "accra", "{}");
+        world.record.add("operator evacuates accra, acknowledged");
+        std::thread::sleep(Duration::from_millis(2000));
+        world.store.delete("evacuations", "accra");
+        world.record.add("operator takes accra back, acknowledged");
+        std::thread::sleep(Duration::from_millis(1000));
+        // The watches of the gateways end at multiples of 1.2 s, from 0.8 s after their start.
+        // The watches of the gateways end at multiples of 1.2 s, from 0.8 s after their start.
+        let phase = world.started.elapsed().as_millis() as u64 % 1200;
+        std::thread::sleep(Duration::from_millis((2100 - phase) % 1200));
+        if trouble {
+            world.record.add("drill: the store is away");
+            world.store.leave(true);
+            std::thread::sleep(SHORT_AWAY);
+            world.store.come_back(copy);
+            world.record.add("drill: the store is back from a copy");
+        }
+        let back = Instant::now();
+        std::thread::sleep(Duration::from_millis(50));
+        let ack = world.store.put("evacuations", "accra", "{}");
+        world.record.add("operator evacuates accra, acknowledged");
+        let mut tries = Vec::new();
+        std::thread::sleep(Duration::from_millis(4500));
+        while ack.elapsed() < Duration::from_millis(6000) {
+            tries.extend(world.round(&routes));
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        let from = (ack + EVACUATE).max(back + CONTACT);
+        broken.extend(run_in_zone(world, &tries, "accra", from, Instant::now()));
+        world.store.delete("evacuations", "accra");
+        world.record.add("operator takes accra back, acknowledged");
+        world.write_entries();
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    Ok(broken)
+}
+
+/// A zone is evacuated and a config written. The store loses both in a drill. A host
+/// drains, and the operator writes the config again, which gets the revision that it had,
+/// and 7 s later evacuates the zone again. All that is done once for each host of the
+/// other service.
+fn same_revision(world: &mut World, trouble: bool) -> Result {
+    let routes = [("a", 443)];
+    let mut config = vec![world.route("a", 443, "ledger")];
+    let mut version = 7;
+    world.write_config(version, &config);
+    start(world, &routes)?;
+    // The gateways write their contact lists.
+    std::thread::sleep(Duration::from_secs(6));
+    let mut broken = Vec::new();
+    let others = world.hosts.iter().enumerate();
+    let others = others.filter(|(_, h)| h.service == "archive");
+    let others: Vec<usize> = others.map(|(n, _)| n).collect();
+    for (n, host) in others.into_iter().enumerate() {
+        let copy = world.store.copy();
+        std::thread::sleep(Duration::from_millis(500));
+        let first = world.store.put("evacuations", "accra", "{}");
+        world.record.add("operator evacuates accra, acknowledged");
+        config.push(world.route(&format!("b{n}"), 8443 + n as u16, "ledger"));
+        version += 2;
+        world.write_config(version, &config);
+        let revision = world.store.revision();
+        std::thread::sleep(Duration::from_millis(2500));
+        // The watches of the gateways end at multiples of 1.2 s, from 0.8 s after their start.
+        let phase = world.started.elapsed().as_millis() as u64 % 1200;
+        std::thread::sleep(Duration::from_millis((2100 - phase) % 1200));
+        if trouble {
+            world.record.add("drill: the store is away");
+            world.store.leave(true);
+            std::thread::sleep(SHORT_AWAY);
+            world.store.come_back(copy);
+            world.record.add("drill: the store is back from a copy");
+        }
+        let back = Instant::now();
+        std::thread::sleep(Duration::from_millis(100));
+        world.hosts[host].state = "draining".into();
+        world.write_entries();
+        world.record.add("a host of the other service drains");
+        std::thread::sleep(Duration::from_millis(300));
+        world.write_config(version, &config);
+        if trouble && world.store.revision() != revision {
+            return Err(other("the config did not get the revision that it had"));
+        }
+        let tries = world.rounds(&routes, Duration::from_secs(7));
+        let again = Instant::now();
+        world.store.put("evacuations", "accra", "{}");
+        world
+            .record
+            .add("operator evacuates accra again, acknowledged");
+        let from = (first + EVACUATE).max(back + CONTACT);
+        broken.extend(run_in_zone(world, &tries, "accra", from, again));
+        std::thread::sleep(Duration::from_millis(500));
+        world.store.delete("evacuations", "accra");
+        world.record.add("operator takes accra back, acknowledged");
+        // Until the hosts of accra no longer count as cold.
+        std::thread::sleep(Duration::from_millis(4000));
+    }
+    Ok(broken)
+}
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -7,8 +7,10 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time that an answer takes.
-const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time that an answer takes: 4 ms at the store and a round trip between two zones.
+const ANSWER_TIME: Duration = Duration::from_micros(6_800);
+/// Round trip between two zones, which opening a connection takes as well.
+const ROUND_TRIP: Duration = Duration::from_micros(2_800);
 
 #[derive(Clone)]
 struct Object {
@@ -22,6 +24,7 @@
     revision: u64,
     kind: String,
     text: String,
+    deleted: bool,
 }
 
 /// What the store holds, and what a copy of it keeps.
@@ -36,6 +39,8 @@
     content: Content,
     era: u32,
     away: bool,
+    /// Whether calls that are cut stay without an answer instead of an end.
+    silent: bool,
     /// Number of times that all connections were cut.
     cuts: u64,
 }
@@ -73,9 +78,24 @@
             revision: self.revision,
             kind: kind.to_string(),
             text: object_text(name, &object),
+            deleted: false,
         });
         self.objects.insert(key, object);
     }
+
+    fn delete(&mut self, kind: &str, name: &str) {
+        let key = (kind.to_string(), name.to_string());
+        if let Some(mut object) = self.objects.remove(&key) {
+            self.revision += 1;
+            object.revision = self.revision;
+            self.history.push(Event {
+                revision: self.revision,
+                kind: kind.to_string(),
+                text: object_text(name, &object),
+                deleted: true,
+            });
+        }
+    }
 }
 
 impl Store {
@@ -87,6 +107,7 @@
                 content: Content::default(),
                 era: 0,
                 away: false,
+                silent: false,
                 cuts: 0,
             }),
             changed: Condvar::new(),
@@ -108,6 +129,13 @@
         Instant::now()
     }
 
+    /// Removes an object. Returns the time of the acknowledgement.
+    pub fn delete(&self, kind: &str, name: &str) -> Instant {
+        self.0.state.lock().unwrap().content.delete(kind, name);
+        self.0.changed.notify_all();
+        Instant::now()
+    }
+
     /// Revision of the last change.
     pub fn revision(&self) -> u64 {
         self.0.state.lock().unwrap().content.revision
@@ -118,10 +146,11 @@
         self.0.state.lock().unwrap().content.clone()
     }
 
-    /// Cuts all connections and answers nobody.
-    pub fn leave(&self) {
+    /// Answers nobody any more. Connections of before end, or fall silent for good.
+    pub fn leave(&self, silent: bool) {
         let mut state = self.0.state.lock().unwrap();
         state.away = true;
+        state.silent = silent;
         state.cuts += 1;
         drop(state);
         self.0.changed.notify_all();
@@ -140,10 +169,11 @@
     fn serve(&self, stream: TcpStream) {
         let cuts = {
             let state = self.0.state.lock().unwrap();
-            if state.away {
+            if state.away && !state.silent {
                 return;
             }
-            state.cuts
+            // A connection that is opened while the store is away gets no answers either.
+            state.cuts.wrapping_sub(u64::from(state.away))
         };
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_millis(100)));
@@ -151,13 +181,12 @@
             return;
         };
         let mut input = BufReader::new(stream);
-        loop {
-            let Some((request, body)) = self.read_request(&mut input, cuts) else {
-                return;
-            };
-            std::thread::sleep(ANSWER_TIME);
+        let mut time = ANSWER_TIME + ROUND_TRIP;
+        while let Some((request, body)) = self.read_request(&mut input, cuts) {
+            std::thread::sleep(time);
+            time = ANSWER_TIME;
             let Some((status, body, era)) = self.answer(&request, &body, cuts) else {
-                return;
+                break;
             };
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
@@ -167,6 +196,14 @@
                 return;
             }
         }
+        // Waits until the caller gives up.
+        while self.is_cut(cuts) && self.0.state.lock().unwrap().silent {
+            match input.read(&mut [0; 256]) {
+                Ok(0) => return,
+                Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
     }
 
     fn is_cut(&self, cuts: u64) -> bool {
@@ -290,7 +327,7 @@
                         let history = state.content.history.iter();
                         let news = history.filter(|e| e.revision > from && e.kind == kind);
                         let events: Vec<String> = news
-                            .map(|e| format!(r#"{{"Deleted":false,"Object":{}}}"#, e.text))
+                            .map(|e| format!(r#"{{"Deleted":{},"Object":{}}}"#, e.deleted, e.text))
                             .collect();
                         let now = Instant::now();
                         if !events.is_empty() || now >= end {
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -106,6 +106,8 @@
 type Inbox = Arc<Mutex<HashMap<u16, Vec<Packet>>>>;
 
 pub struct World {
+    /// When the gateways were started.
+    pub started: Instant,
     pub folder: PathBuf,
     pub record: Arc<Record>,
     pub store: Store,
@@ -168,6 +170,7 @@
             seeds.insert(n, SocketAddrV4::new(ip(10 + n as u8), control));
         }
         let mut world = World {
+            started: Instant::now(),
             folder,
             record,
             store,
@@ -194,6 +197,7 @@
             world.spawn_host(names.len() * 2 + n, zone, "archive")?;
         }
         world.write_entries();
+        world.started = Instant::now();
         for (n, zone) in zones.iter().enumerate() {
             world.add_gateway(n, zone)?;
         }
