--- a/review/harness-3/caller.rs
+++ b/review/harness-3/caller.rs
@@ -9,6 +9,7 @@
 
 use crate::packet::{Packet, ACK, FIN, RST, SYN};
 use crate::record::Record;
+use crate::router::Router;
 
 /// When each copy of an opening packet was sent, by consumer's address and number of the copy.
 pub type SentTimes = Arc<Mutex<HashMap<(SocketAddrV4, u32), Instant>>>;
@@ -39,8 +40,7 @@
 pub struct Path {
     /// Address of the route.
     pub route: SocketAddrV4,
-    /// The zone's daemons, by a hash of the flow.
-    pub daemons: Vec<SocketAddrV4>,
+    pub router: Router,
 }
 
 /// Outcome of an attempt.
@@ -109,12 +109,11 @@
         let own = SocketAddrV4::new(self.ip, port);
         let hash =
             (u32::from(self.ip) ^ u32::from(port).wrapping_mul(40_503)).wrapping_mul(2_654_435_761);
-        let daemon = path.daemons[(hash >> 16) as usize % path.daemons.len()];
         let flow = Attempt {
             caller: self,
             own,
-            daemon,
-            route: path.route,
+            hash: hash >> 16,
+            path,
             packets,
         };
         let outcome = flow.run(id, end);
@@ -126,8 +125,8 @@
 struct Attempt<'a> {
     caller: &'a Caller,
     own: SocketAddrV4,
-    daemon: SocketAddrV4,
-    route: SocketAddrV4,
+    hash: u32,
+    path: &'a Path,
     packets: Receiver<Packet>,
 }
 
@@ -137,13 +136,15 @@
             echo,
             flags,
             from: self.own,
-            to: self.route,
+            to: self.path.route,
             seq,
             ack,
             data: data.to_vec(),
         };
-        // A lost packet is sent again.
-        let _ = self.caller.socket.send_to(&packet.encode(), self.daemon);
+        if let Some(daemon) = self.path.router.choose(self.hash) {
+            // A lost packet is sent again.
+            let _ = self.caller.socket.send_to(&packet.encode(), daemon);
+        }
     }
 
     fn run(&self, id: &str, end: Instant) -> Outcome {
--- a/review/harness-3/gateway.rs
+++ b/review/harness-3/gateway.rs
@@ -39,13 +39,13 @@
 
 /// A running daemon. It is killed when this is dropped.
 pub struct Gateway {
-    pub ip: Ipv4Addr,
     ready: SocketAddrV4,
     process: Child,
 }
 
 impl Gateway {
-    /// Starts a daemon with the settings that the deploy file's template gives.
+    /// Starts a daemon with the settings that the deploy file's template gives. `first` says that
+    /// the whole system starts for the first time.
     pub fn spawn(
         folder: &Path,
         name: &str,
@@ -53,6 +53,7 @@
         ip: Ipv4Addr,
         ports: Ports,
         seeds: &[Ipv4Addr],
+        first: bool,
         store: &Store,
     ) -> std::io::Result<Gateway> {
         let seeds: Vec<String> = seeds
@@ -63,7 +64,7 @@
             "[vm]\nname = {name}\ndomain = {zone}\n\n\
              [listen]\ndatagram = {ip}:{}\nready = {ip}:{}\npeer = {ip}:{}\nmetrics = {ip}:{}\n\n\
              [platform]\naddress = {}\n\n\
-             [peers]\nseeds = {}\nfirst = true\n\n\
+             [peers]\nseeds = {}\n{}\n\
              [limits]\nconfig = 3000ms\ndrain = 3000ms\nlink = 1000.0mbit\nleave = 5000ms\n\
              heartbeat = 1200ms\nstop = 6s\n",
             ports.datagram,
@@ -71,7 +72,8 @@
             ports.control,
             ports.metrics,
             store.address,
-            seeds.join(",")
+            seeds.join(","),
+            if first { "first = true\n" } else { "" }
         );
         let path: PathBuf = folder.join(format!("{name}.ini"));
         std::fs::File::create(&path)?.write_all(settings.as_bytes())?;
@@ -83,7 +85,7 @@
             .stderr(Stdio::null())
             .spawn()?;
         let ready = SocketAddrV4::new(ip, ports.ready);
-        Ok(Gateway { ip, ready, process })
+        Ok(Gateway { ready, process })
     }
 
     /// Waits until the daemon says that it is ready.
@@ -107,7 +109,8 @@
     }
 }
 
-fn is_ready(address: SocketAddrV4) -> std::io::Result<bool> {
+/// Whether a daemon answers a probe with 200.
+pub fn is_ready(address: SocketAddrV4) -> std::io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&address.into(), Duration::from_millis(200))?;
     stream.set_read_timeout(Some(Duration::from_millis(500)))?;
     stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -2,10 +2,13 @@
 //! program between them. Usage: `cases NAME FOLDER`; the exit status is that of `run.sh`.
 
 mod caller;
+mod deployment;
 mod gateway;
 mod packet;
+mod power_loss;
 mod readmitted;
 mod record;
+mod router;
 mod server;
 mod store;
 
@@ -54,6 +57,7 @@
         trouble: std::env::var("TROUBLE").map_or(true, |v| v != "0"),
     };
     let result = match name.as_str() {
+        "power-loss" => power_loss::run(&context),
         "readmitted" => readmitted::run(&context),
         _ => Err(std::io::Error::other(format!("no case is named {name}"))),
     };
