--- a/review/harness-3/caller.rs
+++ b/review/harness-3/caller.rs
@@ -21,7 +21,7 @@
 /// First pause before data is sent again. It doubles.
 const RETRANSMIT: Duration = Duration::from_millis(200);
 /// Time budget of a request, and the attempts that it may take.
-const BUDGET: Duration = Duration::from_millis(5000);
+const BUDGET: Duration = Duration::from_millis(2000);
 const ATTEMPTS: u32 = 3;
 
 /// A consumer with an address of its own.
@@ -47,7 +47,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
     Answered,
-    Refused,
+    /// The flow was not opened, so the request may be sent again.
+    NotOpened,
+    /// The flow was reset after the request was sent.
+    Reset,
     Late,
 }
 
@@ -83,7 +86,7 @@
         Ok(caller)
     }
 
-    /// Sends an idempotent request. Returns whether it was answered.
+    /// Sends a request that must not be repeated. Returns whether it was answered.
     pub fn request(&self, id: &str, path: &Path) -> bool {
         let start = Instant::now();
         self.record
@@ -92,8 +95,8 @@
             let outcome = self.attempt(id, path, start + BUDGET);
             self.record
                 .line(&format!("request {id}, attempt {attempt}: {outcome:?}"));
-            if outcome == Outcome::Answered {
-                return true;
+            if outcome != Outcome::NotOpened {
+                return outcome == Outcome::Answered;
             }
             if start.elapsed() >= BUDGET {
                 break;
@@ -161,7 +164,7 @@
             pause *= 2;
             while let Some(packet) = self.receive(resend) {
                 if packet.flags & RST != 0 {
-                    return Outcome::Refused;
+                    return Outcome::Reset;
                 }
                 if !packet.data.is_empty() {
                     let after = data_seq.wrapping_add(id.len() as u32);
@@ -185,14 +188,14 @@
             self.send(0, SYN, seq, copy, &[]);
             while let Some(packet) = self.receive(start + end) {
                 if packet.flags & RST != 0 {
-                    return Err(Outcome::Refused);
+                    return Err(Outcome::NotOpened);
                 }
                 if packet.flags & SYN != 0 {
                     return Ok(packet);
                 }
             }
         }
-        Err(Outcome::Late)
+        Err(Outcome::NotOpened)
     }
 
     fn receive(&self, until: Instant) -> Option<Packet> {
--- a/review/harness-3/deployment.rs
+++ b/review/harness-3/deployment.rs
@@ -1,5 +1,5 @@
-//! A small deployment: two zones, three daemons, a server in each zone, and consumers in the
-//! first one. Also the check of FAILBACK.
+//! A small deployment: two zones, two or three daemons, a server in each zone, and consumers in
+//! the first one. Also the check of FAILBACK.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,18 +26,22 @@
 /// Pause between the daemons' start and that of the traffic.
 const LEAD: Duration = Duration::from_secs(1);
 
-/// Name, zone and last byte of the address of each daemon.
-const MACHINES: [(&str, &str, u8); 3] = [
+/// Name, zone and last byte of the address of a daemon.
+pub type Machine = (&'static str, &'static str, u8);
+/// Two daemons in the consumers' zone, or one, and one in the other zone.
+pub const THREE_MACHINES: &[Machine] = &[
     ("north-1", "north", 11),
     ("north-2", "north", 12),
     ("south-1", "south", 21),
 ];
+pub const TWO_MACHINES: &[Machine] = &[("north-1", "north", 11), ("south-1", "south", 21)];
 /// The zone of the consumers.
 const ZONE: &str = "north";
 
 /// A running deployment with its stand-ins.
 pub struct Deployment<'a> {
     context: &'a Context,
+    machines: &'static [Machine],
     ports: Ports,
     pub store: Store,
     /// The server in the consumers' zone.
@@ -51,8 +55,11 @@
     taken: TakenList,
 }
 
-impl Deployment<'_> {
-    pub fn start(context: &Context) -> std::io::Result<Deployment<'_>> {
+impl<'a> Deployment<'a> {
+    pub fn start(
+        context: &'a Context,
+        machines: &'static [Machine],
+    ) -> std::io::Result<Deployment<'a>> {
         let record = &context.record;
         let ports = Ports::free()?;
         let store = Store::spawn("127.60.0.1")?;
@@ -64,6 +71,7 @@
             zone,
             address: SocketAddrV4::new(Ipv4Addr::new(127, 60, 4, last), ports.control),
             cold: COLD_START,
+            cold_limit: WARMUP_PER_S * COLD_OVERAGE_FACTOR + COLD_SLACK,
             consumer_port: ports.datagram,
         };
         let (near, far) = (spec(0x7f3a_91c2, ZONE, 1), spec(0x51d0_08e4, "south", 2));
@@ -71,6 +79,7 @@
         let far = Server::start(&far, false, &store, record, &sent, &taken)?;
         let mut deployment = Deployment {
             context,
+            machines,
             ports,
             store,
             near,
@@ -82,7 +91,7 @@
             sent,
             taken,
         };
-        for index in 0..MACHINES.len() {
+        for index in 0..machines.len() {
             let gateway = deployment.spawn_gateway(index, true)?;
             deployment.gateways.push(Some(gateway));
         }
@@ -96,8 +105,8 @@
     }
 
     fn spawn_gateway(&self, index: usize, first: bool) -> std::io::Result<Gateway> {
-        let (name, zone, last) = MACHINES[index];
-        let seeds: Vec<Ipv4Addr> = MACHINES.iter().map(|m| machine_ip(m.2)).collect();
+        let (name, zone, last) = self.machines[index];
+        let seeds: Vec<Ipv4Addr> = self.machines.iter().map(|m| machine_ip(m.2)).collect();
         let (folder, ip) = (&self.context.temporary, machine_ip(last));
         let gateway = Gateway::spawn(
             folder,
@@ -150,9 +159,42 @@
         Ok(())
     }
 
+    /// The server in the consumers' zone turns cold.
+    pub fn turn_server_cold(&self) {
+        if let Some(server) = &self.near_life {
+            server.turn_cold(&self.context.record);
+        }
+    }
+
+    /// Evacuates the consumers' zone, or takes it back. Returns when the store has accepted that.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        let spec = evacuated.then_some("{}");
+        self.store.write("evacuations", ZONE, spec);
+        let text = format!("zone {ZONE} is evacuated: {evacuated}, acknowledged");
+        self.context.record.line(&text);
+    }
+
+    /// Positions of the daemons of the consumers' zone.
+    fn in_zone(&self) -> Vec<usize> {
+        let all = 0..self.machines.len();
+        all.filter(|i| self.machines[*i].1 == ZONE).collect()
+    }
+
+    /// Pauses the daemons of the consumers' zone, or lets them go on.
+    pub fn set_paused(&self, paused: bool) -> std::io::Result<()> {
+        for index in self.in_zone() {
+            if let Some(gateway) = &self.gateways[index] {
+                gateway.signal(if paused { "STOP" } else { "CONT" })?;
+            }
+        }
+        let text = format!("the daemons of the zone are paused: {paused}");
+        self.context.record.line(&text);
+        Ok(())
+    }
+
     /// Kills the daemons of the consumers' zone.
     pub fn kill_gateways(&mut self) {
-        for index in in_zone() {
+        for index in self.in_zone() {
             self.gateways[index] = None;
         }
         self.context
@@ -161,7 +203,7 @@
     }
 
     pub fn restart_gateways(&mut self) -> std::io::Result<()> {
-        for index in in_zone() {
+        for index in self.in_zone() {
             self.gateways[index] = Some(self.spawn_gateway(index, false)?);
         }
         self.context
@@ -220,10 +262,6 @@
     }
 }
 
-fn in_zone() -> impl Iterator<Item = usize> {
-    (0..MACHINES.len()).filter(|i| MACHINES[*i].1 == ZONE)
-}
-
 fn machine_ip(last: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 60, 1, last)
 }
@@ -234,7 +272,7 @@
 
 fn config(route: SocketAddrV4) -> String {
     format!(
-        r#"{{"Version":7,"Routes":[{{"Name":"r-1","Hostname":"{}","PathPrefix":"/{}/","Type":"download","TimeoutMs":5000,"TargetLatencyMs":500,"Priority":2,"Service":"records","MaxAttempts":2}}],"Services":[{{"Name":"records","HealthPath":"/health","MaxConns":2000,"Protocol":"h1","Tls":false,"ColdStartS":{:.1},"WarmupPerS":{WARMUP_PER_S:.1}}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        r#"{{"Version":7,"Routes":[{{"Name":"r-1","Hostname":"{}","PathPrefix":"/{}/","Type":"unsafe","TimeoutMs":2000,"TargetLatencyMs":200,"Priority":1,"Service":"records","MaxAttempts":2}}],"Services":[{{"Name":"records","HealthPath":"/health","MaxConns":2000,"Protocol":"h1","Tls":false,"ColdStartS":{:.1},"WarmupPerS":{WARMUP_PER_S:.1}}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
         route.ip(),
         route.port(),
         COLD_START.as_secs_f64()
--- a/review/harness-3/gateway.rs
+++ b/review/harness-3/gateway.rs
@@ -88,6 +88,16 @@
         Ok(Gateway { ready, process })
     }
 
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) -> std::io::Result<()> {
+        let command = format!("kill -{name} {}", self.process.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(std::io::Error::other("the signal was not sent")),
+        }
+    }
+
     /// Waits until the daemon says that it is ready.
     pub fn wait_ready(&self) -> bool {
         let start = Instant::now();
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -5,12 +5,14 @@
 mod deployment;
 mod gateway;
 mod packet;
+mod paused;
 mod power_loss;
 mod readmitted;
 mod record;
 mod router;
 mod server;
 mod store;
+mod taken_back;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -57,8 +59,10 @@
         trouble: std::env::var("TROUBLE").map_or(true, |v| v != "0"),
     };
     let result = match name.as_str() {
+        "paused" => paused::run(&context),
         "power-loss" => power_loss::run(&context),
         "readmitted" => readmitted::run(&context),
+        "taken-back" => taken_back::run(&context),
         _ => Err(std::io::Error::other(format!("no case is named {name}"))),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
--- a/review/harness-3/power_loss.rs
+++ b/review/harness-3/power_loss.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, THREE_MACHINES};
 use crate::{Context, Verdict};
 
 /// Times after the start of traffic.
@@ -16,7 +16,7 @@
 const END_AT: Duration = Duration::from_secs(15);
 
 pub fn run(context: &Context) -> std::io::Result<Verdict> {
-    let mut deployment = Deployment::start(context)?;
+    let mut deployment = Deployment::start(context, THREE_MACHINES)?;
     let traffic = deployment.start_traffic(END_AT)?;
     if context.trouble {
         traffic.wait_until(OUTAGE_AT);
--- a/review/harness-3/readmitted.rs
+++ b/review/harness-3/readmitted.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, THREE_MACHINES};
 use crate::{Context, Verdict};
 
 /// Times after the start of traffic.
@@ -16,7 +16,7 @@
 const END_AT: Duration = Duration::from_secs(18);
 
 pub fn run(context: &Context) -> std::io::Result<Verdict> {
-    let mut deployment = Deployment::start(context)?;
+    let mut deployment = Deployment::start(context, THREE_MACHINES)?;
     let traffic = deployment.start_traffic(END_AT)?;
     if context.trouble {
         traffic.wait_until(CRASH_AT);
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -18,8 +18,14 @@
 /// Pause before a refused write is tried again.
 const RETRY: Duration = Duration::from_millis(100);
 /// Longest time for which a server's threads do not notice its end.
-const POLL: Duration = Duration::from_millis(20);
-const RESPONSE_LEN: usize = 1000;
+const POLL: Duration = Duration::from_millis(2);
+const RESPONSE_LEN: usize = 600;
+/// Requests that a server runs at a time, and the time that one takes, also while it is cold.
+const SLOTS: usize = 2;
+const WORK: Duration = Duration::from_millis(39);
+const COLD_WORK: Duration = Duration::from_millis(62);
+/// Time for which a server that fell over takes nothing.
+const FALLEN: Duration = Duration::from_secs(1);
 
 /// What a server is, in all its lifetimes.
 #[derive(Clone)]
@@ -30,6 +36,9 @@
     pub address: SocketAddrV4,
     /// Duration of a cold start.
     pub cold: Duration,
+    /// Most flows in a second that a cold server bears. It falls over if it gets more: what it
+    /// was working on is lost, and it is down for a moment.
+    pub cold_limit: f64,
     /// Port at which consumers receive packets.
     pub consumer_port: u16,
 }
@@ -56,16 +65,23 @@
 /// A lifetime of a server.
 pub struct Server {
     spec: Spec,
+    birth: Arc<Mutex<Birth>>,
     ends: Arc<AtomicBool>,
     threads: Vec<std::thread::JoinHandle<()>>,
 }
 
+/// When a lifetime started, and until when it is cold.
+struct Birth {
+    /// Unix milliseconds.
+    born: u128,
+    cold_until: Instant,
+}
+
 /// What the threads of a server share.
 #[derive(Clone)]
 struct Life {
     spec: Spec,
-    born: u128,
-    cold_until: Instant,
+    birth: Arc<Mutex<Birth>>,
     ends: Arc<AtomicBool>,
     store: Store,
     record: Record,
@@ -91,8 +107,10 @@
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let life = Life {
             spec: spec.clone(),
-            born: unix.map_or(0, |d| d.as_millis()),
-            cold_until: if cold { now + spec.cold } else { now },
+            birth: Arc::new(Mutex::new(Birth {
+                born: unix.map_or(0, |d| d.as_millis()),
+                cold_until: if cold { now + spec.cold } else { now },
+            })),
             ends: Arc::new(AtomicBool::new(false)),
             store: store.clone(),
             record: record.clone(),
@@ -103,6 +121,7 @@
         let (a, b, c) = (life.clone(), life.clone(), life.clone());
         Ok(Server {
             spec: spec.clone(),
+            birth: life.birth,
             ends: life.ends,
             threads: vec![
                 std::thread::spawn(move || a.register()),
@@ -112,6 +131,12 @@
         })
     }
 
+    /// Turns cold. The entry says so from the next heartbeat on.
+    pub fn turn_cold(&self, record: &Record) {
+        self.birth.lock().unwrap().cold_until = Instant::now() + self.spec.cold;
+        record.line(&format!("server {} turns cold", self.spec.name()));
+    }
+
     /// Ends the lifetime at once. The server's sockets are closed, and its flows are lost.
     pub fn crash(self, record: &Record) {
         self.ends.store(true, Ordering::SeqCst);
@@ -136,17 +161,21 @@
         while !self.is_over() {
             if Instant::now() >= due {
                 seq += 1;
-                let left = self.cold_until.saturating_duration_since(Instant::now());
+                let (born, cold_until) = {
+                    let birth = self.birth.lock().unwrap();
+                    (birth.born, birth.cold_until)
+                };
+                let left = cold_until.saturating_duration_since(Instant::now());
                 let entry = format!(
                     r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":2,"State":"ready","ColdRemainingMs":{},"Seq":{seq},"born":{}}}"#,
                     self.spec.service,
                     self.spec.address,
                     self.spec.zone,
                     left.as_millis(),
-                    self.born
+                    born
                 );
                 let accepted = self.store.write("servers", &name, Some(&entry));
-                if accepted != written || seq == 1 {
+                if accepted != written || seq == 1 || !left.is_zero() {
                     let cold_ms = left.as_millis();
                     self.record.line(&format!(
                         "server {name} writes its entry, cold for {cold_ms} ms: accepted: {accepted}"
@@ -169,9 +198,10 @@
     }
 
     fn serve(&self, socket: &UdpSocket) {
-        let mut flows: HashMap<SocketAddrV4, Flow> = HashMap::new();
+        let mut work = Work::default();
         let mut buffer = [0; 2048];
         while !self.is_over() {
+            work.send_due(socket);
             let Ok((length, _)) = socket.recv_from(&mut buffer) else {
                 continue;
             };
@@ -179,57 +209,109 @@
             let Some((id, packet)) = split(&buffer[..length]) else {
                 continue;
             };
-            if id != 0 && id != self.spec.id {
+            let intended = id == 0 || id == self.spec.id;
+            if !intended || work.down_until.is_some_and(|at| arrived < at) {
                 continue;
             }
-            let caller = packet.from;
-            let reply = match flows.get_mut(&caller) {
-                _ if packet.flags & SYN != 0 => {
-                    let flow = flows.entry(caller).or_insert_with(|| Flow::new(&packet));
-                    flow.opening = (packet.ack, arrived);
-                    Some(flow.accept(&packet))
-                }
-                Some(flow) => self.handle(flow, &packet),
-                None => Some(answer(&packet, RST, packet.ack, Vec::new())),
-            };
-            if let Some(reply) = reply {
-                let to = SocketAddrV4::new(*caller.ip(), self.spec.consumer_port);
+            if let Some(reply) = self.handle(&mut work, &packet, arrived) {
+                let to = SocketAddrV4::new(*packet.from.ip(), self.spec.consumer_port);
                 // A consumer that is gone is no concern of a server.
                 let _ = socket.send_to(&reply.encode(), to);
             }
         }
+        for lost in &work.pending {
+            self.record
+                .line(&format!("request {} is lost with its server", lost.request));
+        }
     }
 
-    fn handle(&self, flow: &mut Flow, packet: &Packet) -> Option<Packet> {
+    /// Returns the immediate reply to a packet.
+    fn handle(&self, work: &mut Work, packet: &Packet, arrived: Instant) -> Option<Packet> {
+        if packet.flags & SYN != 0 {
+            let flow = work.flows.entry(packet.from);
+            let flow = flow.or_insert_with(|| Flow::new(packet));
+            flow.opening = (packet.ack, arrived);
+            return Some(flow.accept(packet));
+        }
+        let Some(flow) = work.flows.get_mut(&packet.from) else {
+            return Some(answer(packet, RST, packet.ack, Vec::new()));
+        };
         if !flow.open {
             if packet.ack != flow.seq.wrapping_add(1) {
                 return Some(answer(packet, RST, packet.ack, Vec::new()));
             }
             flow.open = true;
             self.note_opening(flow, packet.from);
+            if self.bears_too_much() {
+                self.fall_over(work);
+                return None;
+            }
         }
         if packet.flags & FIN != 0 {
             return Some(answer(packet, ACK | FIN, packet.ack, Vec::new()));
         }
-        if packet.data.is_empty() {
-            return None;
-        }
-        if !flow.answered {
-            flow.answered = true;
-            self.record.line(&format!(
-                "server {} runs request {}",
-                self.spec.name(),
-                String::from_utf8_lossy(&packet.data)
-            ));
+        if !packet.data.is_empty() && !flow.asked {
+            flow.asked = true;
+            let seq = flow.seq.wrapping_add(1);
+            self.run_request(work, packet, seq);
         }
-        let mut reply = answer(
-            packet,
-            ACK,
-            flow.seq.wrapping_add(1),
-            vec![b'x'; RESPONSE_LEN],
-        );
+        None
+    }
+
+    /// Runs a request in the slot that is free first.
+    fn run_request(&self, work: &mut Work, packet: &Packet, seq: u32) {
+        let request = String::from_utf8_lossy(&packet.data).into_owned();
+        let name = self.spec.name();
+        self.record
+            .line(&format!("server {name} runs request {request}"));
+        let now = Instant::now();
+        let time = if self.is_cold(now) { COLD_WORK } else { WORK };
+        let mut reply = answer(packet, ACK, seq, vec![b'x'; RESPONSE_LEN]);
         reply.ack = packet.seq.wrapping_add(packet.data.len() as u32);
-        Some(reply)
+        let slot = work.slots.iter_mut().min_by_key(|at| **at);
+        let due = slot.map_or(now, |slot| {
+            *slot = slot.map_or(now, |at| at.max(now)).checked_add(time);
+            slot.unwrap_or(now)
+        });
+        let to = SocketAddrV4::new(*packet.from.ip(), self.spec.consumer_port);
+        work.pending.push(Pending {
+            due,
+            to,
+            reply,
+            request,
+        });
+    }
+
+    fn is_cold(&self, now: Instant) -> bool {
+        now < self.birth.lock().unwrap().cold_until
+    }
+
+    /// Whether a cold server has taken more flows in the last second than it bears.
+    fn bears_too_much(&self) -> bool {
+        let now = Instant::now();
+        let taken = self.taken.lock().unwrap();
+        let recent = |t: &&Taken| {
+            t.id == self.spec.id && t.cold && now.duration_since(t.arrived) < Duration::from_secs(1)
+        };
+        taken.iter().filter(recent).count() as f64 > self.spec.cold_limit
+    }
+
+    /// Loses all flows and what runs. The server is back after a moment, cold again.
+    fn fall_over(&self, work: &mut Work) {
+        let back = Instant::now() + FALLEN;
+        self.record
+            .line(&format!("server {} falls over", self.spec.name()));
+        for lost in work.pending.drain(..) {
+            self.record
+                .line(&format!("request {} is lost with its server", lost.request));
+        }
+        *work = Work {
+            down_until: Some(back),
+            ..Work::default()
+        };
+        let mut birth = self.birth.lock().unwrap();
+        birth.born += FALLEN.as_millis();
+        birth.cold_until = back + self.spec.cold;
     }
 
     fn note_opening(&self, flow: &Flow, caller: SocketAddrV4) {
@@ -238,7 +320,7 @@
         let Some(sent) = sent else {
             return;
         };
-        let cold = arrived < self.cold_until;
+        let cold = self.is_cold(arrived);
         self.record.line(&format!(
             "server {} takes a flow of {caller}, opening packet sent at {:.4}, arrived at {:.4}, cold: {cold}",
             self.spec.name(),
@@ -255,11 +337,42 @@
     }
 }
 
+/// What a server works on.
+#[derive(Default)]
+struct Work {
+    flows: HashMap<SocketAddrV4, Flow>,
+    /// When each slot is free; none if it was never used.
+    slots: [Option<Instant>; SLOTS],
+    pending: Vec<Pending>,
+    /// End of the time for which the server is down after it fell over.
+    down_until: Option<Instant>,
+}
+
+impl Work {
+    /// Sends the responses of the requests that have ended.
+    fn send_due(&mut self, socket: &UdpSocket) {
+        let now = Instant::now();
+        for done in self.pending.iter().filter(|p| p.due <= now) {
+            let _ = socket.send_to(&done.reply.encode(), done.to);
+        }
+        self.pending.retain(|p| p.due > now);
+    }
+}
+
+/// A request that runs.
+struct Pending {
+    due: Instant,
+    to: SocketAddrV4,
+    reply: Packet,
+    request: String,
+}
+
 /// A flow that a server knows.
 struct Flow {
     seq: u32,
     open: bool,
-    answered: bool,
+    /// Whether its request has arrived.
+    asked: bool,
     /// Number of the copy of the opening packet that arrived last, and when.
     opening: (u32, Instant),
 }
@@ -272,7 +385,7 @@
                 .wrapping_mul(2_654_435_761)
                 .wrapping_add(packet.echo),
             open: false,
-            answered: false,
+            asked: false,
             opening: (packet.ack, Instant::now()),
         }
     }
