--- a/review/harness-3/deployment.rs
+++ b/review/harness-3/deployment.rs
@@ -61,15 +61,15 @@
         machines: &'static [Machine],
     ) -> std::io::Result<Deployment<'a>> {
         let record = &context.record;
-        let ports = Ports::free()?;
-        let store = Store::spawn("127.60.0.1")?;
+        let ports = Ports::free(loopback(2, 2))?;
+        let store = Store::spawn(loopback(2, 1))?;
         store.write("config", "main", Some(&config(route())));
         let (sent, taken) = (SentTimes::default(), TakenList::default());
         let spec = |id: u64, zone: &'static str, last: u8| Spec {
             id,
             service: "records",
             zone,
-            address: SocketAddrV4::new(Ipv4Addr::new(127, 60, 4, last), ports.control),
+            address: SocketAddrV4::new(loopback(4, last), ports.control),
             cold: COLD_START,
             cold_limit: WARMUP_PER_S * COLD_OVERAGE_FACTOR + COLD_SLACK,
             consumer_port: ports.datagram,
@@ -126,7 +126,7 @@
     pub fn start_traffic(&self, end: Duration) -> std::io::Result<Traffic> {
         let callers: Vec<Caller> = (1..=CALLERS)
             .map(|i| {
-                let ip = Ipv4Addr::new(127, 60, 8, i as u8);
+                let ip = loopback(8, i as u8);
                 Caller::open(ip, self.ports.datagram, &self.sent, &self.context.record)
             })
             .collect::<std::io::Result<_>>()?;
@@ -262,12 +262,18 @@
     }
 }
 
+/// A loopback address of this run. Runs beside each other have others.
+fn loopback(group: u8, last: u8) -> Ipv4Addr {
+    let run = 64 + (std::process::id() % 128) as u8;
+    Ipv4Addr::new(127, run, group, last)
+}
+
 fn machine_ip(last: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 60, 1, last)
+    loopback(1, last)
 }
 
 fn route() -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(127, 60, 200, 1), 443)
+    SocketAddrV4::new(loopback(200, 1), 443)
 }
 
 fn config(route: SocketAddrV4) -> String {
--- a/review/harness-3/gateway.rs
+++ b/review/harness-3/gateway.rs
@@ -22,10 +22,10 @@
 }
 
 impl Ports {
-    /// Ports that are free now.
-    pub fn free() -> std::io::Result<Ports> {
+    /// Ports that are free now at a loopback address.
+    pub fn free(ip: Ipv4Addr) -> std::io::Result<Ports> {
         let sockets: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
+            .map(|_| TcpListener::bind((ip, 0)))
             .collect::<std::io::Result<_>>()?;
         let port = |i: usize| sockets[i].local_addr().map(|a| a.port());
         Ok(Ports {
--- a/review/harness-3/server.rs
+++ b/review/harness-3/server.rs
@@ -229,8 +229,7 @@
     fn handle(&self, work: &mut Work, packet: &Packet, arrived: Instant) -> Option<Packet> {
         if packet.flags & SYN != 0 {
             let flow = work.flows.entry(packet.from);
-            let flow = flow.or_insert_with(|| Flow::new(packet));
-            flow.opening = (packet.ack, arrived);
+            let flow = flow.or_insert_with(|| Flow::new(packet, arrived));
             return Some(flow.accept(packet));
         }
         let Some(flow) = work.flows.get_mut(&packet.from) else {
@@ -373,12 +372,12 @@
     open: bool,
     /// Whether its request has arrived.
     asked: bool,
-    /// Number of the copy of the opening packet that arrived last, and when.
+    /// Number of the copy of the opening packet that arrived first, and when.
     opening: (u32, Instant),
 }
 
 impl Flow {
-    fn new(packet: &Packet) -> Flow {
+    fn new(packet: &Packet, arrived: Instant) -> Flow {
         Flow {
             seq: packet
                 .seq
@@ -386,7 +385,7 @@
                 .wrapping_add(packet.echo),
             open: false,
             asked: false,
-            opening: (packet.ack, Instant::now()),
+            opening: (packet.ack, arrived),
         }
     }
 
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -53,7 +53,7 @@
 
 impl Store {
     /// Starts to serve on a free port of the address.
-    pub fn spawn(ip: &str) -> std::io::Result<Store> {
+    pub fn spawn(ip: Ipv4Addr) -> std::io::Result<Store> {
         let listener = TcpListener::bind((ip, 0))?;
         let state = State {
             revision: 1,
